--- /dev/null
+++ b/src/bluebellbarrow/commandline.h
@@ -0,0 +1,11 @@
+#ifndef BLUEBELLBARROW_COMMANDLINE_H
+#define BLUEBELLBARROW_COMMANDLINE_H
+
+namespace bluebellbarrow {
+
+/** Runs the sub-command that the arguments name; returns the exit code. */
+int runCommandLine(int Count, char **Arguments);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_COMMANDLINE_H
--- /dev/null
+++ b/src/kernel/framereader.h
@@ -0,0 +1,52 @@
+#ifndef BLUEBELLBARROW_KERNEL_FRAMEREADER_H
+#define BLUEBELLBARROW_KERNEL_FRAMEREADER_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bluebellbarrow {
+
+/** One message on a stream between processes: a kind and an encoded body. */
+struct Frame {
+  uint8_t Kind = 0;
+  std::string Body;
+};
+
+/** Returns \a Value as it goes on a stream. Thread safety: safe. */
+std::string frameBytes(const Frame &Value);
+
+/**
+ * Cuts a byte stream into frames: a length of four bytes (little-endian, of
+ * kind and body), one byte of kind, the body.
+ *
+ * Thread safety: none.
+ */
+class FrameReader {
+public:
+  /** \a MaxBytes limits the length of a frame. */
+  explicit FrameReader(uint32_t MaxBytes) : MaxBytes(MaxBytes) {}
+
+  /** Appends received bytes. */
+  void feed(std::string_view Bytes) { this->Buffer.append(Bytes); }
+
+  /** Returns the next whole frame, or nothing when more bytes are needed. */
+  std::optional<Frame> next();
+
+  /** Returns true after a length outside the limit; the stream is unusable. */
+  bool broken() const { return this->Broken; }
+
+  /** Returns the bytes of a frame that is not whole yet. */
+  size_t pending() const { return this->Buffer.size() - this->Position; }
+
+private:
+  uint32_t MaxBytes;
+  std::string Buffer;
+  size_t Position = 0;
+  bool Broken = false;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_KERNEL_FRAMEREADER_H
--- /dev/null
+++ b/src/kernel/hashing.h
@@ -0,0 +1,28 @@
+#ifndef BLUEBELLBARROW_KERNEL_HASHING_H
+#define BLUEBELLBARROW_KERNEL_HASHING_H
+
+#include "ids.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace bluebellbarrow {
+
+/** Returns the SHA-256 of \a Value. Thread safety: safe. */
+Digest digestOf(std::string_view Value);
+
+/** Returns the identifier of the mesh called \a Name. Thread safety: safe. */
+MeshId meshIdOf(std::string_view Name);
+
+/** Returns a 64-bit hash that is the same on every machine. */
+uint64_t stableHash(std::string_view Value);
+
+/**
+ * Returns the rendezvous weight of \a Member for \a Key; the member with the
+ * highest weight owns the key. Thread safety: safe.
+ */
+uint64_t rendezvousWeight(std::string_view Key, std::string_view Member);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_KERNEL_HASHING_H
--- /dev/null
+++ b/src/plugins/admission/seenrequests.cpp
@@ -0,0 +1,25 @@
+#include "seenrequests.h"
+
+namespace bluebellbarrow {
+
+std::optional<SeenState> SeenRequests::find(const RequestKey &Key) const {
+  const auto Found = this->States.find(Key);
+  if (Found == this->States.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void SeenRequests::set(const RequestKey &Key, SeenState State, TimePoint Now) {
+  this->States[Key] = State;
+  if (State == SeenState::Finished || State == SeenState::NotRun)
+    this->Expiries.push_back({.Due = Now + this->Memory, .Key = Key});
+}
+
+void SeenRequests::expire(TimePoint Now) {
+  while (!this->Expiries.empty() && this->Expiries.front().Due <= Now) {
+    this->States.erase(this->Expiries.front().Key);
+    this->Expiries.pop_front();
+  }
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/audit/auditevent.h
@@ -0,0 +1,41 @@
+#ifndef BLUEBELLBARROW_AUDIT_AUDITEVENT_H
+#define BLUEBELLBARROW_AUDIT_AUDITEVENT_H
+
+#include "kernel/ids.h"
+#include "tree/catalog.h"
+
+#include <string>
+
+namespace bluebellbarrow {
+
+/** What an entry of the audit trail records. */
+enum class AuditKind {
+  Seen,
+  Applied,
+  Refused,
+  IgnoredOlder,
+  Conflict,
+  DigestMismatch,
+  Settled,
+  StateChanged,
+  Paused,
+};
+
+/** Returns the name of \a Kind as the trail shows it. */
+const char *auditKindName(AuditKind Kind);
+
+/** One change, or attempt at one, that this node saw. */
+struct AuditEvent {
+  AuditKind Kind = AuditKind::Seen;
+  ItemKind Item = ItemKind::Config;
+  VersionId Version;
+
+  /** Who told this node: an address, "platform" or "self". */
+  std::string From;
+
+  std::string Detail;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_AUDIT_AUDITEVENT_H
--- /dev/null
+++ b/src/plugins/audit/audittrail.cpp
@@ -0,0 +1,47 @@
+#include "audittrail.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bluebellbarrow {
+
+namespace {
+
+bool sameEvent(const AuditEvent &A, const AuditEvent &B) {
+  return A.Kind == B.Kind && A.Item == B.Item && A.Version == B.Version &&
+         A.From == B.From && A.Detail == B.Detail;
+}
+
+int64_t unixMilliseconds(AuditTrail::WallTime Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Time.time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+void AuditTrail::add(const AuditEvent &Event, WallTime When) {
+  if (!this->Entries.empty() && sameEvent(this->Entries.back().Event, Event)) {
+    this->Entries.back().Count += 1;
+    this->Entries.back().Last = When;
+    return;
+  }
+  this->Entries.push_back({.Event = Event, .First = When, .Last = When});
+  if (this->Entries.size() > this->MaxEntries)
+    this->Entries.pop_front();
+}
+
+std::string AuditTrail::json() const {
+  nlohmann::json Trail = nlohmann::json::array();
+  for (const Entry &Each : this->Entries)
+    Trail.push_back({{"time_ms", unixMilliseconds(Each.First)},
+                     {"last_ms", unixMilliseconds(Each.Last)},
+                     {"count", Each.Count},
+                     {"event", auditKindName(Each.Event.Kind)},
+                     {"kind", itemKindName(Each.Event.Item)},
+                     {"version", Each.Event.Version.text()},
+                     {"from", Each.Event.From},
+                     {"detail", Each.Event.Detail}});
+  return Trail.dump();
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/audit/audittrail.h
@@ -0,0 +1,46 @@
+#ifndef BLUEBELLBARROW_AUDIT_AUDITTRAIL_H
+#define BLUEBELLBARROW_AUDIT_AUDITTRAIL_H
+
+#include "auditevent.h"
+
+#include <chrono>
+#include <deque>
+#include <string>
+
+namespace bluebellbarrow {
+
+/**
+ * The last changes that this node saw, kept in memory.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class AuditTrail {
+public:
+  using WallTime = std::chrono::system_clock::time_point;
+
+  /** Keeps at most \a MaxEntries entries. */
+  explicit AuditTrail(size_t MaxEntries) : MaxEntries(MaxEntries) {}
+
+  /** Records \a Event; an entry equal to the last one only counts up. */
+  void add(const AuditEvent &Event, WallTime When);
+
+  /** Returns the trail as a JSON array, the oldest entry first. */
+  std::string json() const;
+
+  size_t size() const { return this->Entries.size(); }
+
+private:
+  struct Entry {
+    AuditEvent Event;
+    WallTime First;
+    WallTime Last;
+    uint64_t Count = 1;
+  };
+
+  size_t MaxEntries;
+  std::deque<Entry> Entries;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_AUDIT_AUDITTRAIL_H
--- /dev/null
+++ b/src/plugins/http/dataplugin.cpp
@@ -0,0 +1,183 @@
+#include "kernel/hashing.h"
+#include "kernel/pausedetector.h"
+#include "origincalls.h"
+#include "plugins/metrics/metrics.h"
+#include "plugins/nodeplugin.h"
+#include "plugins/peer/peerserver.h"
+#include "targetprobe.h"
+#include "upstreamcalls.h"
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr Duration TickPeriod = milliseconds(5);
+constexpr Duration PauseLimit = milliseconds(500);
+
+/** Time after a pause in which cancellations are read before work starts. */
+constexpr Duration WakeHold = milliseconds(50);
+
+/** Time without requests after which the listening sockets may close. */
+constexpr Duration QuietTime = milliseconds(300);
+
+constexpr unsigned MaxSockets = 4096;
+
+/** The task that carries calls: callers, peers and the target. */
+class DataPlugin : public NodePlugin {
+public:
+  explicit DataPlugin(NodeContext &Context)
+      : Context(Context), Owner({.Name = "data", .MaxSockets = MaxSockets}),
+        Self{.Mesh = meshIdOf(Context.Settings.Mesh),
+             .Name = Context.Settings.Name,
+             .Life = Context.Life},
+        Target(Owner, Context.Settings, Context.Counters),
+        Origin(Owner, Context.Settings, Self, Target, Context.Counters),
+        Peers(Owner, Context.Settings.Ip, Context.Settings.PeerPort, Self,
+              this->peerEvents()),
+        Probe(Owner, Context.Settings,
+              [this](MemberState State) { this->onTargetState(State); }),
+        Pauses(PauseLimit), Tick(Owner, [this] { this->onTick(); }) {}
+
+  Result<std::monostate> prepare() override {
+    const NodeSettings &Settings = this->Context.Settings;
+    if (!this->Origin.listening() || !this->Peers.listening())
+      return makeError(Errc::Unreachable, "listen for calls", Settings.Ip.str(),
+                       "a port can't be bound");
+    NodeBus &Bus = this->Context.Bus;
+    Bus.Snapshots.subscribe(this->Owner,
+                            [this](const SnapshotMessage &Message) {
+                              this->onSnapshot(Message.Current);
+                            });
+    Bus.Words.subscribe(this->Owner, [this](const MemberWord &Word) {
+      this->Origin.onWord(Word);
+    });
+    Bus.Stop.subscribe(this->Owner,
+                       [this](const StopMessage &) { this->onStop(); });
+    this->Owner.post([this] {
+      this->Probe.start();
+      this->onTick();
+    });
+    return std::monostate();
+  }
+
+  void start() override { this->Owner.start(); }
+
+  void stop() override {
+    this->Owner.stop();
+    this->Owner.join();
+  }
+
+private:
+  PeerServerEvents peerEvents() {
+    return {
+        .Request =
+            [this](StreamId Stream, const RequestKey &Key,
+                   const RequestMessage &Message) {
+              this->Target.request(Key, Message, this->sinkTo(Stream));
+            },
+        .Cancel =
+            [this](StreamId Stream, const RequestKey &Key,
+                   const CancelMessage &Message) {
+              const CancelState State =
+                  this->Target.cancel(Key, Message.Stop, this->sinkTo(Stream));
+              this->Peers.reply(Stream, CancelReplyMessage{.Number = Key.Number,
+                                                           .State = State});
+            },
+        .Load = [this] { return this->Target.load(); },
+        .Malformed =
+            [this](const Error &Failure) {
+              logError(LogLevel::Warning, Failure);
+              this->Context.Counters.add(Metric::Malformed, "peers");
+            }};
+  }
+
+  UpstreamCalls::Sink sinkTo(StreamId Stream) {
+    return [this, Stream](const ReplyMessage &Message) {
+      this->Peers.reply(Stream, Message);
+    };
+  }
+
+  void onSnapshot(const std::shared_ptr<const Snapshot> &New) {
+    this->Origin.setSnapshot(New);
+    this->Target.setSnapshot(New);
+    this->HasSnapshot = true;
+    const ServiceEntry *Own = New->findService(this->Context.Settings.Service);
+    if (Own != nullptr)
+      this->Probe.setPeriod(Own->Effective.ProbePeriod);
+    this->updateState();
+  }
+
+  void onTargetState(MemberState State) {
+    this->TargetState = State;
+    this->updateState();
+  }
+
+  void updateState() {
+    MemberState State = this->TargetState;
+    if (this->Stopping)
+      State = MemberState::Draining;
+    else if (!this->HasSnapshot)
+      State = MemberState::Starting;
+    if (State == this->Target.state())
+      return;
+    this->Target.setState(State);
+    this->Context.Bus.OwnState.publish({State});
+  }
+
+  void onStop() {
+    if (this->Stopping)
+      return;
+    const TimePoint Now = Task::now();
+    this->Stopping = true;
+    this->StopBegan = Now;
+    this->Origin.setLeaving();
+    this->updateState();
+    logRecord(LogLevel::Info, {.Step = "stop"}, "draining");
+  }
+
+  void onTick() {
+    const TimePoint Now = Task::now();
+    if (this->Pauses.onTick(Now)) {
+      this->Context.Counters.add(Metric::Pauses, "data");
+      this->Target.holdUntil(Now + WakeHold);
+    }
+    this->Target.poll(Now);
+    this->Origin.poll(Now);
+    if (this->Stopping && !this->Stopped)
+      this->pollStop(Now);
+    this->Tick.start(TickPeriod);
+  }
+
+  void pollStop(TimePoint Now) {
+    const NodeSettings &Settings = this->Context.Settings;
+    const size_t Open = this->Origin.open() + this->Target.open();
+    const bool LimitOver = Now - this->StopBegan >= Settings.StopLimit;
+    const bool LeaveOver = Now - this->StopBegan >= Settings.LeaveTime;
+    const bool Quiet = Now - this->Origin.lastRequest() >= QuietTime;
+    if (!LimitOver && (Open > 0 || !LeaveOver || !Quiet))
+      return;
+    this->Stopped = true;
+    this->Context.Bus.Stopped.publish({.CutRequests = Open});
+  }
+
+  NodeContext &Context;
+  Task Owner;
+  PeerIdentity Self;
+  UpstreamCalls Target;
+  OriginCalls Origin;
+  PeerServer Peers;
+  TargetProbe Probe;
+  PauseDetector Pauses;
+  Timer Tick;
+  MemberState TargetState = MemberState::Starting;
+  bool HasSnapshot = false;
+  bool Stopping = false;
+  bool Stopped = false;
+  TimePoint StopBegan;
+};
+
+const NodePluginRegistry::Registration<DataPlugin> Registered("data");
+
+} // namespace
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/http/origincalls.h
@@ -0,0 +1,106 @@
+#ifndef BLUEBELLBARROW_HTTP_ORIGINCALLS_H
+#define BLUEBELLBARROW_HTTP_ORIGINCALLS_H
+
+#include "kernel/httpserver.h"
+#include "kernel/nodesettings.h"
+#include "kernel/task.h"
+#include "plugins/peer/peerclient.h"
+#include "plugins/routing/exchange.h"
+#include "tree/snapshot.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace bluebellbarrow {
+
+class Metrics;
+class UpstreamCalls;
+
+/**
+ * Takes calls from callers, carries each through an Exchange and answers it.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class OriginCalls {
+public:
+  /** \pre the arguments outlive the object. */
+  OriginCalls(Task &Owner, const NodeSettings &Settings, PeerIdentity Self,
+              UpstreamCalls &Local, Metrics &Counters);
+
+  /** Returns false when the port for callers can't be listened on. */
+  bool listening() const { return this->Callers.listening(); }
+
+  void setSnapshot(std::shared_ptr<const Snapshot> New);
+
+  void onWord(const MemberWord &Word) { this->Routes.onWord(Word); }
+
+  /** Asks callers to close their connection after each answer. */
+  void setLeaving() { this->Leaving = true; }
+
+  /** Time has passed; to be called every few milliseconds. */
+  void poll(TimePoint Now);
+
+  /** Returns the requests that are not answered yet. */
+  size_t open() const { return this->Callers.open(); }
+
+  /** Returns when the last request came. */
+  TimePoint lastRequest() const { return this->LastRequest; }
+
+private:
+  struct Call {
+    ExchangeId Caller;
+    std::unique_ptr<Exchange> Decisions;
+    RequestMessage Message;
+    TimePoint Deadline;
+
+    /** Number of the current attempt. */
+    RequestNumber Attempt;
+
+    /** The answer of the current attempt, until it is forwarded. */
+    HttpResponse Answer;
+
+    /** The attempt runs at the target beside this node. */
+    bool Local = false;
+  };
+
+  using CallId = uint64_t;
+
+  void onRequest(ExchangeId Caller, const HttpRequest &Request);
+  void onAborted(ExchangeId Caller);
+  void begin(ExchangeId Caller, const HttpRequest &Request,
+             const RouteEntry &Route);
+  void carryOut(CallId Id, const ExchangeActions &Actions);
+  void act(CallId Id, const StartAttempt &Action);
+  void act(CallId Id, const CancelAttempt &Action);
+  void act(CallId Id, const ForwardAnswer &Action);
+  void act(CallId Id, const FailCall &Action);
+  void onReply(const ReplyMessage &Reply);
+  void onCancelReply(const CancelReplyMessage &Reply);
+  Call *findAttempt(RequestNumber Number, CallId &Id);
+  void refuse(ExchangeId Caller, int Status, const std::string &Reason);
+  void answer(ExchangeId Caller, HttpResponse Response, const char *Outcome);
+  RetryBudget &budgetOf(const ServiceEntry &Service, TimePoint Now);
+
+  Task &Owner;
+  const NodeSettings &Settings;
+  PeerIdentity Self;
+  UpstreamCalls &Local;
+  Metrics &Counters;
+  std::shared_ptr<const Snapshot> Current;
+  Router Routes;
+  std::map<ServiceName, RetryBudget> Budgets;
+  HttpServer Callers;
+  PeerClient Peers;
+  std::map<CallId, Call> Calls;
+  std::map<ExchangeId, CallId> ByCaller;
+  std::map<RequestNumber, CallId> ByAttempt;
+  uint64_t LastNumber = 0;
+  CallId LastCall = 0;
+  TimePoint LastRequest;
+  bool Leaving = false;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_HTTP_ORIGINCALLS_H
--- /dev/null
+++ b/src/plugins/http/targetprobe.h
@@ -0,0 +1,44 @@
+#ifndef BLUEBELLBARROW_HTTP_TARGETPROBE_H
+#define BLUEBELLBARROW_HTTP_TARGETPROBE_H
+
+#include "kernel/httpclient.h"
+#include "kernel/nodesettings.h"
+#include "kernel/task.h"
+#include "plugins/membership/memberword.h"
+
+#include <functional>
+
+namespace bluebellbarrow {
+
+/**
+ * Asks the target for its health from time to time. The answer is a hint for
+ * "serving"; its word that it drains is binding.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class TargetProbe {
+public:
+  /** \a OnState is called with each answer. */
+  TargetProbe(Task &Owner, const NodeSettings &Settings,
+              std::function<void(MemberState)> OnState);
+
+  void setPeriod(Duration New) { this->Period = New; }
+
+  /** Probes at once and then from time to time. */
+  void start();
+
+private:
+  void probe();
+  void onDone(const CallResult &Result);
+
+  std::function<void(MemberState)> OnState;
+  std::string Path;
+  HttpClient Client;
+  Timer Next;
+  Duration Period = milliseconds(500);
+  int Failures = 0;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_HTTP_TARGETPROBE_H
--- /dev/null
+++ b/src/plugins/http/upstreamcalls.h
@@ -0,0 +1,95 @@
+#ifndef BLUEBELLBARROW_HTTP_UPSTREAMCALLS_H
+#define BLUEBELLBARROW_HTTP_UPSTREAMCALLS_H
+
+#include "kernel/httpclient.h"
+#include "kernel/nodesettings.h"
+#include "plugins/admission/admission.h"
+#include "plugins/admission/keymemory.h"
+#include "plugins/peer/peermessages.h"
+#include "tree/snapshot.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace bluebellbarrow {
+
+class Metrics;
+class Task;
+
+/**
+ * Runs calls at the target beside this node, whoever they come from: admits
+ * them, hands them to the target and says what truly became of each.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class UpstreamCalls {
+public:
+  using Sink = std::function<void(const ReplyMessage &)>;
+
+  /** \pre \a Owner and \a Counters outlive the object. */
+  UpstreamCalls(Task &Owner, const NodeSettings &Settings, Metrics &Counters);
+
+  void setSnapshot(std::shared_ptr<const Snapshot> New);
+
+  /** Sets what the node says of its target. */
+  void setState(MemberState State);
+
+  MemberState state() const { return this->State; }
+
+  /** Starts nothing before \a Until. */
+  void holdUntil(TimePoint Until) { this->Gate.holdUntil(Until); }
+
+  /** Takes a request; \a Reply is called once, perhaps within the call. */
+  void request(const RequestKey &Key, const RequestMessage &Message,
+               Sink Reply);
+
+  /** Cancels a request; a running one now answers to \a Reply. */
+  CancelState cancel(const RequestKey &Key, bool Stop, Sink Reply);
+
+  /** Time has passed; to be called every few milliseconds. */
+  void poll(TimePoint Now);
+
+  LoadReport load() const;
+
+  /** Returns the requests that have not ended. */
+  size_t open() const { return this->Calls.size(); }
+
+private:
+  struct Call {
+    RequestMessage Message;
+    TimePoint Deadline;
+    Sink Reply;
+    std::string KeyName;
+    size_t Slot = 0;
+    bool Running = false;
+  };
+
+  bool joinEarlierRun(const RequestKey &Key, const RequestMessage &Message,
+                      const Sink &Reply, std::string &KeyName);
+  void start(const RequestKey &Key);
+  void onTargetDone(const RequestKey &Key, const CallResult &Result);
+  void end(const RequestKey &Key, ReplyMessage Message);
+  void refuse(const RequestKey &Key, const std::string &Reason);
+  HttpRequest targetRequest(const Call &Of, TimePoint Now) const;
+  void runQueue(TimePoint Now);
+
+  Task &Owner;
+  const NodeSettings &Settings;
+  Metrics &Counters;
+  Admission Gate;
+  KeyMemory Keys;
+  std::unique_ptr<HttpClient> Target;
+  std::shared_ptr<const Snapshot> Current;
+  std::map<RequestKey, Call> Calls;
+
+  /** Requests that joined the run of another under the same key. */
+  std::map<RequestKey, Sink> Joined;
+
+  MemberState State = MemberState::Starting;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_HTTP_UPSTREAMCALLS_H
--- /dev/null
+++ b/src/plugins/membership/memberword.h
@@ -0,0 +1,48 @@
+#ifndef BLUEBELLBARROW_MEMBERSHIP_MEMBERWORD_H
+#define BLUEBELLBARROW_MEMBERSHIP_MEMBERWORD_H
+
+#include "kernel/ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** What a node says of itself and its target. */
+enum class MemberState : uint8_t {
+  /** Neither target nor settings are ready yet. */
+  Starting = 0,
+
+  Serving = 1,
+
+  /** Finishes what it has and takes nothing new. */
+  Draining = 2,
+
+  /** The process has ended in an orderly way. */
+  Gone = 3,
+};
+
+/** Returns the name of \a State for logs and tables. */
+const char *memberStateName(MemberState State);
+
+/** A node's own word; a higher (life, sequence) replaces a lower one. */
+struct MemberWord {
+  VmName Name;
+  Incarnation Life;
+
+  /** Counts the words of one life. */
+  uint32_t Sequence = 0;
+
+  MemberState State = MemberState::Starting;
+
+  /** Reads or writes the word with a cereal archive. */
+  template <typename Archive> void serialize(Archive &Ar) {
+    auto Raw = static_cast<uint8_t>(this->State);
+    Ar(this->Name, this->Life, this->Sequence, Raw);
+    this->State = static_cast<MemberState>(Raw);
+  }
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_MEMBERSHIP_MEMBERWORD_H
--- /dev/null
+++ b/src/plugins/peer/peerclient.h
@@ -0,0 +1,107 @@
+#ifndef BLUEBELLBARROW_PEER_PEERCLIENT_H
+#define BLUEBELLBARROW_PEER_PEERCLIENT_H
+
+#include "kernel/clock.h"
+#include "kernel/frametransport.h"
+#include "peermessages.h"
+#include "tree/vmlist.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** What a client reports; each member is called on the client's task. */
+struct PeerClientEvents {
+  std::function<void(const ReplyMessage &)> Reply;
+  std::function<void(const CancelReplyMessage &)> CancelReply;
+
+  /** Nothing of the request was handed to the system. */
+  std::function<void(RequestNumber)> NotSent;
+
+  /** The stream broke after the request may have been sent. */
+  std::function<void(RequestNumber)> Lost;
+
+  std::function<void(const VmName &, const LoadReport &)> Load;
+
+  /** A peer sent something malformed. */
+  std::function<void(const Error &)> Malformed;
+};
+
+/** Who this node is for its peers. */
+struct PeerIdentity {
+  MeshId Mesh;
+  VmName Name;
+  Incarnation Life;
+};
+
+/**
+ * Sends calls to the nodes of upstreams, over one stream for each.
+ *
+ * A stream is used only after the peer has said which life it is in, and every
+ * request names that life. Thread safety: none; owned by one task.
+ */
+class PeerClient {
+public:
+  /** \pre \a Owner outlives the client. */
+  PeerClient(Task &Owner, const Address &LocalIp, int PeerPort,
+             PeerIdentity Self, PeerClientEvents Events);
+
+  /** Sends a request; the client fills in ForLife. */
+  void sendRequest(const Vm &Upstream, RequestMessage Message, TimePoint Now);
+
+  /**
+   * Asks about a request that sendRequest() was given. Lost or CancelReply
+   * follows; NotSent when the request itself still waited for the stream.
+   */
+  void sendCancel(const Vm &Upstream, RequestNumber Number, bool Stop,
+                  TimePoint Now);
+
+  /** Forgets a request; nothing more is reported for it. */
+  void forget(RequestNumber Number) { this->Requests.erase(Number); }
+
+  /** Closes streams whose peer does not greet, and idle ones. */
+  void poll(TimePoint Now);
+
+private:
+  using Pending = std::variant<RequestMessage, CancelMessage>;
+
+  struct Link {
+    VmName Name;
+    Address Ip;
+    Incarnation Life;
+    TimePoint Opened;
+    TimePoint LastUse;
+    std::vector<Pending> Waiting;
+    bool Greeted = false;
+  };
+
+  /** What is known of a request that has not ended. */
+  struct Sent {
+    StreamId Stream;
+    Incarnation ForLife;
+    bool Written = false;
+  };
+
+  Link &linkTo(const Vm &Upstream, StreamId &Stream, TimePoint Now);
+  void onReceived(StreamId Stream, const Frame &Value);
+  bool onHello(StreamId Stream, Link &Source, const Frame &Value);
+  void onClosed(StreamId Stream);
+  void write(StreamId Stream, Link &Target, RequestMessage &Message);
+  void malformed(StreamId Stream, const Link &Source, const char *Detail);
+
+  int PeerPort;
+  PeerIdentity Self;
+  PeerClientEvents Events;
+  FrameTransport Streams;
+  std::map<StreamId, Link> Links;
+  std::map<VmName, StreamId> ByName;
+  std::map<RequestNumber, Sent> Requests;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_PEER_PEERCLIENT_H
--- /dev/null
+++ b/src/plugins/peer/peermessages.h
@@ -0,0 +1,141 @@
+#ifndef BLUEBELLBARROW_PEER_PEERMESSAGES_H
+#define BLUEBELLBARROW_PEER_PEERMESSAGES_H
+
+#include "kernel/httpmessage.h"
+#include "kernel/ids.h"
+#include "plugins/membership/memberword.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace bluebellbarrow {
+
+/** What became of a request, as far as it is known. */
+enum class Outcome : uint8_t {
+  /** The target answered. */
+  Answered = 0,
+
+  /** The target did not run the request and will not. */
+  NotRun = 1,
+
+  /** The target may have run the request. */
+  Unknown = 2,
+};
+
+/** What a cancellation found. */
+enum class CancelState : uint8_t {
+  /** The request has not run and will not. */
+  NotRun = 0,
+
+  Running = 1,
+  Finished = 2,
+
+  /** The process has restarted since and knows nothing of the request. */
+  OtherLife = 3,
+};
+
+/** Load of a target, as its node counts it. */
+struct LoadReport {
+  uint16_t SlotsUsed = 0;
+  uint16_t Slots = 0;
+  uint16_t Queued = 0;
+  MemberState State = MemberState::Starting;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->SlotsUsed, this->Slots, this->Queued, this->State);
+  }
+};
+
+/** First message in both directions of a stream. */
+struct HelloMessage {
+  MeshId Mesh;
+  VmName Name;
+  Incarnation Life;
+  LoadReport Load;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Mesh, this->Name, this->Life, this->Load);
+  }
+};
+
+/** A call on its way to the upstream's node. */
+struct RequestMessage {
+  RequestNumber Number;
+
+  /** Life of the process that is meant to run the request. */
+  Incarnation ForLife;
+
+  ServiceName Service;
+  RouteName Route;
+
+  /** Microseconds until the caller's deadline. */
+  uint64_t Remaining = 0;
+
+  bool Idempotent = false;
+
+  /** Calls that led to this one. */
+  uint8_t Depth = 0;
+
+  HttpRequest Call;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->ForLife, this->Service, this->Route, this->Remaining,
+       this->Idempotent, this->Depth, this->Call);
+  }
+};
+
+/** The end of a request at the upstream's node. */
+struct ReplyMessage {
+  RequestNumber Number;
+  Outcome Result = Outcome::Unknown;
+
+  /** Why the request has no answer; empty when it has one. */
+  std::string Reason;
+
+  /** Forbids a retry by the nodes above. */
+  bool NoRetry = false;
+
+  HttpResponse Answer;
+  LoadReport Load;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->Result, this->Reason, this->NoRetry, this->Answer,
+       this->Load);
+  }
+};
+
+/** Asks the upstream's node not to run a request, or what became of it. */
+struct CancelMessage {
+  RequestNumber Number;
+  Incarnation ForLife;
+
+  /** True when a running request shall be stopped. */
+  bool Stop = false;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->ForLife, this->Stop);
+  }
+};
+
+struct CancelReplyMessage {
+  RequestNumber Number;
+  CancelState State = CancelState::OtherLife;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->State);
+  }
+};
+
+/** Kinds of frames between nodes that carry calls. */
+enum class PeerFrame : uint8_t {
+  Hello = 1,
+  Request = 2,
+  Reply = 3,
+  Cancel = 4,
+  CancelReply = 5,
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_PEER_PEERMESSAGES_H
--- /dev/null
+++ b/src/plugins/peer/peerserver.h
@@ -0,0 +1,68 @@
+#ifndef BLUEBELLBARROW_PEER_PEERSERVER_H
+#define BLUEBELLBARROW_PEER_PEERSERVER_H
+
+#include "kernel/frametransport.h"
+#include "peerclient.h"
+#include "peermessages.h"
+#include "plugins/admission/seenrequests.h"
+
+#include <functional>
+#include <map>
+
+namespace bluebellbarrow {
+
+/** What a server reports; each member is called on the server's task. */
+struct PeerServerEvents {
+  std::function<void(StreamId, const RequestKey &, const RequestMessage &)>
+      Request;
+  std::function<void(StreamId, const RequestKey &, const CancelMessage &)>
+      Cancel;
+
+  /** Returns the load to greet with. */
+  std::function<LoadReport()> Load;
+
+  std::function<void(const Error &)> Malformed;
+};
+
+/**
+ * Takes calls from other nodes. A call that is meant for another life of this
+ * process is refused here.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class PeerServer {
+public:
+  /** \pre \a Owner outlives the server. */
+  PeerServer(Task &Owner, const Address &Ip, int Port, PeerIdentity Self,
+             PeerServerEvents Events);
+
+  bool listening() const { return this->Streams.listening(); }
+
+  /** Sends the end of a request; lost when the stream has closed. */
+  void reply(StreamId Stream, const ReplyMessage &Message);
+
+  void reply(StreamId Stream, const CancelReplyMessage &Message);
+
+private:
+  struct Origin {
+    VmName Name;
+    Incarnation Life;
+  };
+
+  void onReceived(StreamId Stream, const Frame &Value);
+  void onHello(StreamId Stream, const Frame &Value);
+  void onRequest(StreamId Stream, const Origin &From,
+                 const RequestMessage &Message);
+  void onCancel(StreamId Stream, const Origin &From,
+                const CancelMessage &Message);
+  void malformed(StreamId Stream, const char *Detail);
+
+  PeerIdentity Self;
+  PeerServerEvents Events;
+  FrameTransport Streams;
+  std::map<StreamId, Origin> Origins;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_PEER_PEERSERVER_H
--- /dev/null
+++ b/src/plugins/platform/platformclient.cpp
@@ -0,0 +1,96 @@
+#include "platformclient.h"
+
+#include <charconv>
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr const char *RevisionHeader = "platform-revision";
+constexpr size_t MaxValueBytes = 2U * 1024 * 1024;
+constexpr size_t WatchSlots = 4;
+constexpr size_t PartSlots = 4;
+
+/** Time that an answer may take beyond the time for which it may wait. */
+constexpr Duration AnswerLimit = seconds(2);
+
+HttpClientOptions clientOptions(const PlatformClientOptions &Options,
+                                const std::string &Name, size_t Slots) {
+  return {.Name = Name,
+          .LocalIp = Options.LocalIp,
+          .Ip = Options.Ip,
+          .Port = Options.Port,
+          .Slots = Slots,
+          .MaxBodyBytes = MaxValueBytes,
+          .CustomHeaders = {RevisionHeader}};
+}
+
+std::string targetOf(const ReadPlatform &What) {
+  const std::string Path =
+      What.Kind == ItemKind::Config ? "/v1/values/manifest" : "/v1/vms";
+  return Path + "?changed-since=" + std::to_string(What.ChangedSince) +
+         "&wait-ms=" + std::to_string(toMilliseconds(What.Wait));
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(Task &Owner,
+                               const PlatformClientOptions &Options)
+    : Watches(Owner, clientOptions(Options, "platform-watch", WatchSlots)),
+      Parts(Owner, clientOptions(Options, "platform-part", PartSlots)) {}
+
+ReadResult PlatformClient::toResult(const CallResult &Result) {
+  if (Result.End != CallEnd::Answered)
+    return {.End = ReadEnd::Failed, .Cause = Result.Cause};
+  const HttpResponse &Response = Result.Response;
+  if (Response.Status == 304)
+    return {.End = ReadEnd::Unchanged};
+  if (Response.Status == 404)
+    return {.End = ReadEnd::Missing};
+  if (Response.Status != 200)
+    return {.End = ReadEnd::Failed,
+            .Cause = "status " + std::to_string(Response.Status)};
+  ReadResult Value{.End = ReadEnd::Value, .Text = Response.Body};
+  const std::string_view Revision =
+      headerValue(Response.Headers, RevisionHeader);
+  std::from_chars(Revision.data(), Revision.data() + Revision.size(),
+                  Value.Revision);
+  return Value;
+}
+
+void PlatformClient::read(const ReadPlatform &What, Done OnDone) {
+  if (this->Watches.busy() == this->Watches.slots()) {
+    OnDone({.End = ReadEnd::Failed, .Cause = "too many reads"});
+    return;
+  }
+  this->Watches.call(
+      {.Method = "GET", .Target = targetOf(What), .Headers = {}, .Body = {}},
+      What.Wait + AnswerLimit,
+      [OnDone = std::move(OnDone)](const CallResult &Result) {
+        OnDone(toResult(Result));
+      });
+}
+
+void PlatformClient::readPart(const Digest &Hash, Done OnDone) {
+  const std::string Target = "/v1/values/" + Hash.str();
+  if (this->Parts.busy() < this->Parts.slots())
+    this->startPart(Target, std::move(OnDone));
+  else
+    this->Queue.push_back({Target, std::move(OnDone)});
+}
+
+void PlatformClient::startPart(const std::string &Target, Done OnDone) {
+  this->Parts.call(
+      {.Method = "GET", .Target = Target, .Headers = {}, .Body = {}},
+      AnswerLimit,
+      [this, OnDone = std::move(OnDone)](const CallResult &Result) {
+        OnDone(toResult(Result));
+        if (this->Queue.empty())
+          return;
+        Waiting Next = std::move(this->Queue.front());
+        this->Queue.pop_front();
+        this->startPart(Next.Target, std::move(Next.OnDone));
+      });
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/routing/exchange.h
@@ -0,0 +1,131 @@
+#ifndef BLUEBELLBARROW_ROUTING_EXCHANGE_H
+#define BLUEBELLBARROW_ROUTING_EXCHANGE_H
+
+#include "retrybudget.h"
+#include "router.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** Sends the request to an upstream as attempt number \a Attempt, from 1. */
+struct StartAttempt {
+  int Attempt = 0;
+  Vm Upstream;
+};
+
+/** Asks the upstream not to run the attempt, or what became of it. */
+struct CancelAttempt {
+  int Attempt = 0;
+  Vm Upstream;
+
+  /** True when a running request shall be stopped. */
+  bool Stop = false;
+};
+
+/** Hands the target's answer to the caller. */
+struct ForwardAnswer {
+  int Attempt = 0;
+};
+
+/** Answers the caller with an error of this node's own. */
+struct FailCall {
+  /** NotRun or Unknown. */
+  Outcome Result = Outcome::Unknown;
+
+  std::string Reason;
+
+  /** True when the deadline was the cause. */
+  bool Late = false;
+};
+
+using ExchangeAction =
+    std::variant<StartAttempt, CancelAttempt, ForwardAnswer, FailCall>;
+
+using ExchangeActions = std::vector<ExchangeAction>;
+
+/** What an exchange needs to know of its call. */
+struct ExchangeOptions {
+  ServiceEntry Service;
+  Policy Rules;
+  TimePoint Deadline;
+
+  /** Key of the caller; the request goes only to the key's owner. */
+  std::string IdempotencyKey;
+};
+
+/**
+ * The life of one call at the node that the caller reached: which upstream to
+ * try, when to try another, and what may truthfully be said in the end.
+ *
+ * Another attempt is made only when the one before is known not to have run,
+ * or when the route is idempotent; within the retry budget and the deadline.
+ * A decision object. Thread safety: none; owned by one task.
+ */
+class Exchange {
+public:
+  /** \pre \a Routes and \a Budget outlive the exchange. */
+  Exchange(ExchangeOptions Options, Router &Routes, RetryBudget &Budget)
+      : Options(std::move(Options)), Routes(Routes), Budget(Budget) {}
+
+  ExchangeActions start(TimePoint Now);
+
+  /** The upstream's node ended the attempt. \a Status is the answer's. */
+  ExchangeActions onReply(int Attempt, Outcome Result, int Status,
+                          const std::string &Reason, bool NoRetry,
+                          TimePoint Now);
+
+  /** Nothing of the attempt was handed to the system. */
+  ExchangeActions onNotSent(int Attempt, TimePoint Now);
+
+  /** The connection broke after the attempt may have been sent. */
+  ExchangeActions onLost(int Attempt, TimePoint Now);
+
+  /** A CancelAttempt was answered. */
+  ExchangeActions onCancelReply(int Attempt, CancelState State, TimePoint Now);
+
+  /** Time has passed; to be called at nextDeadline(). */
+  ExchangeActions onTime(TimePoint Now);
+
+  /** The caller has gone. */
+  ExchangeActions onAborted(TimePoint Now);
+
+  /** Returns when onTime() is due. */
+  TimePoint nextDeadline() const { return this->NextDeadline; }
+
+  bool done() const { return this->Done; }
+
+  int attempts() const { return this->LastAttempt; }
+
+private:
+  ExchangeActions tryNext(TimePoint Now);
+  ExchangeActions retryOrFail(Outcome Result, const std::string &Reason,
+                              bool NoRetry, TimePoint Now);
+  ExchangeActions fail(Outcome Result, const std::string &Reason, bool Late);
+  void endAttempt(AttemptEnd End, TimePoint Now);
+  bool isCurrent(int Attempt) const;
+  TimePoint attemptDeadline(TimePoint Now) const;
+
+  ExchangeOptions Options;
+  Router &Routes;
+  RetryBudget &Budget;
+  std::optional<Vm> Current;
+  std::vector<VmName> Tried;
+  int LastAttempt = 0;
+
+  /** True once an attempt may have run, so "not run" can't be said. */
+  bool MayHaveRun = false;
+
+  /** The connection of the attempt broke; its end is asked for. */
+  bool Resolving = false;
+
+  bool Done = false;
+  TimePoint NextDeadline;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_ROUTING_EXCHANGE_H
--- /dev/null
+++ b/src/plugins/routing/retrybudget.h
@@ -0,0 +1,73 @@
+#ifndef BLUEBELLBARROW_ROUTING_RETRYBUDGET_H
+#define BLUEBELLBARROW_ROUTING_RETRYBUDGET_H
+
+#include "kernel/clock.h"
+
+namespace bluebellbarrow {
+
+/** Tuning of a RetryBudget. */
+struct RetryBudgetOptions {
+  /** Retries allowed for each first attempt, from 0 to 1. */
+  double RetriesPerRequest = 0.1;
+
+  /** Retries saved up at most, in requests. */
+  double MaxBalance = 50;
+
+  /** Retries allowed without any traffic, in requests per second. */
+  double MinRetriesPerSecond = 1;
+
+  /** Retries that a new budget holds. */
+  double InitialBalance = 0;
+};
+
+/**
+ * Limits retries to a share of first attempts, so that a failing service does
+ * not receive more load than it did when it was healthy.
+ *
+ * A token bucket: each first attempt deposits a part of a retry, each retry
+ * withdraws a whole one. Method: the retry budget of Finagle.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class RetryBudget {
+public:
+  /**
+   * Creates a budget that holds the initial balance at \a Now.
+   *
+   * \pre every option is finite and not negative.
+   */
+  RetryBudget(const RetryBudgetOptions &Options, TimePoint Now);
+
+  /** Returns the retries that may be made at once, in requests. */
+  double balance() const { return this->Balance; }
+
+  /** Replaces the tuning; the balance stays. */
+  void setOptions(const RetryBudgetOptions &New) { this->Options = New; }
+
+  /**
+   * Deposits the share of one first attempt.
+   *
+   * \pre \a Now is not before the \a Now of the call before.
+   */
+  void onFirstAttempt(TimePoint Now);
+
+  /**
+   * Withdraws one retry. Returns false, and changes nothing, when less than
+   * one is left.
+   *
+   * \pre \a Now is not before the \a Now of the call before.
+   */
+  [[nodiscard]] bool tryWithdraw(TimePoint Now);
+
+private:
+  void deposit(double Retries);
+  void depositElapsed(TimePoint Now);
+
+  RetryBudgetOptions Options;
+  double Balance = 0;
+  TimePoint LastDeposit;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_ROUTING_RETRYBUDGET_H
--- /dev/null
+++ b/src/plugins/spread/controlcodec.cpp
@@ -0,0 +1,72 @@
+#include "controlcodec.h"
+
+#include "kernel/wirearchive.h"
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr uint8_t GreetingKind = 0xf0;
+
+template <typename T>
+std::optional<ControlMessage> decodeAs(const std::string &Body) {
+  T Message;
+  if (!decode(Body, Message))
+    return std::nullopt;
+  if constexpr (requires { Message.Kind; })
+    if (static_cast<size_t>(Message.Kind) >= ItemKindCount)
+      return std::nullopt;
+  return ControlMessage(std::move(Message));
+}
+
+template <size_t... Index>
+std::optional<ControlMessage> decodeKind(const Frame &Value,
+                                         std::index_sequence<Index...>) {
+  std::optional<ControlMessage> Message;
+  ((Value.Kind == Index
+        ? void(Message =
+                   decodeAs<std::variant_alternative_t<Index, ControlMessage>>(
+                       Value.Body))
+        : void()),
+   ...);
+  return Message;
+}
+
+bool isKnown(MemberState State) { return State <= MemberState::Gone; }
+
+} // namespace
+
+Frame toFrame(const ControlMessage &Message) {
+  return {.Kind = static_cast<uint8_t>(Message.index()),
+          .Body = std::visit([](const auto &Each) { return encode(Each); },
+                             Message)};
+}
+
+std::optional<ControlMessage> fromFrame(const Frame &Value) {
+  constexpr size_t Count = std::variant_size_v<ControlMessage>;
+  return decodeKind(Value, std::make_index_sequence<Count>());
+}
+
+Frame greetingFrame(MeshId Mesh) {
+  return {.Kind = GreetingKind, .Body = encode(Mesh)};
+}
+
+bool isGreeting(const Frame &Value, MeshId Mesh) {
+  MeshId Theirs;
+  return Value.Kind == GreetingKind && decode(Value.Body, Theirs) &&
+         Theirs == Mesh;
+}
+
+std::string toDatagram(const DigestMessage &Message) { return encode(Message); }
+
+std::optional<DigestMessage> fromDatagram(std::string_view Bytes) {
+  DigestMessage Message;
+  if (!decode(Bytes, Message) || !isKnown(Message.Sender.State))
+    return std::nullopt;
+  for (const MemberWord &Word : Message.News)
+    if (!isKnown(Word.State))
+      return std::nullopt;
+  return Message;
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/spread/controlcodec.h
@@ -0,0 +1,33 @@
+#ifndef BLUEBELLBARROW_SPREAD_CONTROLCODEC_H
+#define BLUEBELLBARROW_SPREAD_CONTROLCODEC_H
+
+#include "kernel/framereader.h"
+#include "spreadmessages.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bluebellbarrow {
+
+/** Returns a control message as a frame. Thread safety: safe. */
+Frame toFrame(const ControlMessage &Message);
+
+/** Reads a frame; nothing for one that is malformed. Thread safety: safe. */
+std::optional<ControlMessage> fromFrame(const Frame &Value);
+
+/** Returns the first frame of each control stream. */
+Frame greetingFrame(MeshId Mesh);
+
+/** Returns true when \a Value is the greeting of \a Mesh. */
+bool isGreeting(const Frame &Value, MeshId Mesh);
+
+/** Returns a digest as a datagram. Thread safety: safe. */
+std::string toDatagram(const DigestMessage &Message);
+
+/** Reads a datagram; nothing for one that is malformed. */
+std::optional<DigestMessage> fromDatagram(std::string_view Bytes);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_CONTROLCODEC_H
--- /dev/null
+++ b/src/plugins/spread/controllinks.h
@@ -0,0 +1,81 @@
+#ifndef BLUEBELLBARROW_SPREAD_CONTROLLINKS_H
+#define BLUEBELLBARROW_SPREAD_CONTROLLINKS_H
+
+#include "kernel/clock.h"
+#include "kernel/datagramsocket.h"
+#include "kernel/frametransport.h"
+#include "spreadmessages.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace bluebellbarrow {
+
+/** What the links report; each member is called on the links' task. */
+struct ControlEvents {
+  std::function<void(const Address &, const ControlMessage &)> Message;
+  std::function<void(const Address &, const DigestMessage &)> Digest;
+
+  /** Messages to this node may be lost. */
+  std::function<void(const Address &)> Failed;
+
+  /** Bytes of one cause were sent (true) or received. */
+  std::function<void(bool, const char *, size_t)> Counted;
+
+  /** Something malformed was received. */
+  std::function<void(const Error &)> Malformed;
+};
+
+/**
+ * The sockets of the control plane: one stream for each pair of nodes that
+ * has something to say, and datagrams.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class ControlLinks {
+public:
+  /** \pre \a Owner outlives the links. */
+  ControlLinks(Task &Owner, const Address &Ip, int Port, MeshId Mesh,
+               ControlEvents Events);
+
+  /** Returns false when the port can't be bound. */
+  bool listening() const;
+
+  void send(const Address &To, const ControlMessage &Message, TimePoint Now);
+
+  /** Sends to the node's control port, or answers an observer at its own. */
+  void sendDigest(const Address &To, const DigestMessage &Message);
+
+  /** Closes streams that were idle for long. */
+  void closeIdle(TimePoint Now);
+
+private:
+  struct Link {
+    Address Peer;
+    TimePoint LastUse;
+    bool Outgoing = false;
+    bool Greeted = false;
+  };
+
+  void onReceived(StreamId Stream, const Frame &Value);
+  void onClosed(StreamId Stream);
+  void onDatagram(const DatagramPeer &From, std::string_view Bytes);
+  StreamId streamTo(const Address &To, TimePoint Now);
+
+  Task &Owner;
+  int Port;
+  MeshId Mesh;
+  ControlEvents Events;
+  FrameTransport Streams;
+  DatagramSocket Datagrams;
+  std::map<StreamId, Link> Links;
+  std::map<Address, StreamId> ByPeer;
+
+  /** Ports of observers that asked, by address. */
+  DatagramPeer Observer;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_CONTROLLINKS_H
--- /dev/null
+++ b/src/plugins/spread/spread.cpp
@@ -0,0 +1,310 @@
+#include "spread.h"
+
+#include "kernel/hashing.h"
+
+#include <algorithm>
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr std::array<ItemKind, ItemKindCount> Kinds = {ItemKind::Config,
+                                                       ItemKind::VmList};
+constexpr Duration MinReadInterval = milliseconds(50);
+constexpr Duration FirstReadDelay = milliseconds(200);
+constexpr int MaxReadDoublings = 5;
+constexpr Duration MaxHold = milliseconds(500);
+
+} // namespace
+
+Spread::Spread(SpreadOptions NewOptions, VersionCheck Check,
+               SpreadPolicyOf PolicyOf, TimePoint Now)
+    : Options(std::move(NewOptions)), Mesh(meshIdOf(this->Options.Mesh)),
+      Check(std::move(Check)), PolicyOf(std::move(PolicyOf)),
+      Tuning(defaultSpreadPolicy()),
+      Random(this->Options.Seed), Streams{Stream(ItemKind::Config,
+                                                 this->Options.Seed + 1),
+                                          Stream(ItemKind::VmList,
+                                                 this->Options.Seed + 2)},
+      Members(MemberWord{.Name = this->Options.Self,
+                         .Life = this->Options.Life,
+                         .Sequence = 1,
+                         .State = MemberState::Starting}),
+      Schedule({}, this->Options.Seed + 3, Now),
+      Boot(this->Options.BootSilence), Started(Now), NextDigest(Now),
+      NextAsk(Now), HoldUntil(Now), TransferWindow(Now) {}
+
+SpreadActions Spread::takeActions() {
+  SpreadActions Taken;
+  Taken.swap(this->Actions);
+  return Taken;
+}
+
+const CatalogStore &Spread::store(ItemKind Kind) const {
+  return this->Streams[static_cast<size_t>(Kind)].Store;
+}
+
+const VersionLedger &Spread::ledger(ItemKind Kind) const {
+  return this->Streams[static_cast<size_t>(Kind)].Ledger;
+}
+
+void Spread::audit(AuditKind Kind, ItemKind Item, const VersionId &Version,
+                   const std::string &From, const std::string &Detail) {
+  this->Actions.emplace_back(AuditEvent{.Kind = Kind,
+                                        .Item = Item,
+                                        .Version = Version,
+                                        .From = From,
+                                        .Detail = Detail});
+}
+
+void Spread::onTick(TimePoint Now) {
+  this->pollBoot(Now);
+  this->pollReads(Now);
+  this->pollDigests(Now);
+  this->adopt(this->Pushes.takeOverdue(Now), Now);
+  if (this->holding(Now))
+    return;
+  for (const ItemKind Kind : Kinds)
+    this->stream(Kind).Pulls.poll(this->ledger(Kind).inForce(), Now,
+                                  this->Actions);
+}
+
+void Spread::onPlatformValue(ItemKind Kind, uint64_t Revision,
+                             const std::string &Text, TimePoint Now) {
+  Watch &Read = this->stream(Kind).Read;
+  Read.InFlight = false;
+  Read.NotBefore = Now + MinReadInterval;
+  if (this->holding(Now))
+    return;
+  Read.LastGood = true;
+  Read.Failures = 0;
+  Read.Revision = std::max(Read.Revision, Revision);
+  this->Schedule.onGoodRead(Now);
+  if (Kind == ItemKind::Config)
+    this->takeConfigManifest(Text, Now);
+  else
+    this->takeVmList(Text, Now);
+}
+
+void Spread::onPlatformUnchanged(ItemKind Kind, TimePoint Now) {
+  Watch &Read = this->stream(Kind).Read;
+  Read.InFlight = false;
+  Read.LastGood = true;
+  Read.Failures = 0;
+  Read.NotBefore = Now + MinReadInterval;
+  this->Schedule.onGoodRead(Now);
+}
+
+void Spread::onPlatformFailed(ItemKind Kind, TimePoint Now) {
+  Watch &Read = this->stream(Kind).Read;
+  Read.InFlight = false;
+  Read.LastGood = false;
+  this->delayRead(Read, Now);
+  this->Schedule.onFailedRead(Now);
+}
+
+void Spread::delayRead(Watch &Read, TimePoint Now) {
+  const int Doublings = std::min(Read.Failures, MaxReadDoublings);
+  Read.Failures += 1;
+  const int64_t Longest = toMicroseconds(FirstReadDelay) << Doublings;
+  std::uniform_int_distribution<int64_t> Draw(Longest / 2, Longest);
+  Read.NotBefore = Now + microseconds(Draw(this->Random));
+}
+
+void Spread::takeConfigManifest(const std::string &Text, TimePoint Now) {
+  const Result<Catalog> Manifest = parseManifest(Text);
+  if (!Manifest || Manifest.value().Mesh != this->Options.Mesh) {
+    const std::string Why =
+        Manifest ? "manifest of mesh '" + Manifest.value().Mesh + "'"
+                 : Manifest.error().message();
+    this->audit(AuditKind::Refused, ItemKind::Config, VersionId(), "platform",
+                Why);
+    return;
+  }
+  Stream &Config = this->stream(ItemKind::Config);
+  const VersionId Version = versionOf(Manifest.value());
+  const Verdict What = Config.Ledger.judge(Version);
+  if (Config.Ledger.conflicts(Version))
+    this->audit(AuditKind::Conflict, ItemKind::Config, Version, "platform",
+                "in force: " + Config.Ledger.inForce().text());
+  if (What == Verdict::Older)
+    this->audit(AuditKind::IgnoredOlder, ItemKind::Config, Version, "platform",
+                "in force: " + Config.Ledger.inForce().text());
+  if (What != Verdict::Wanted || Version == this->Fetch.target())
+    return;
+  this->audit(AuditKind::Seen, ItemKind::Config, Version, "platform", "");
+  this->Fetch.begin(Manifest.value(), Now);
+  this->finishFetch(Now);
+}
+
+void Spread::takeVmList(const std::string &Text, TimePoint Now) {
+  const Result<VmList> List = parsePlatformVmList(Text);
+  if (!List) {
+    this->audit(AuditKind::Refused, ItemKind::VmList, VersionId(), "platform",
+                List.error().message());
+    return;
+  }
+  auto Version = std::make_shared<WholeVersion>();
+  Version->Content =
+      vmListCatalog(this->Options.Mesh, List.value(), Version->Parts);
+  Version->Id = versionOf(Version->Content);
+  this->accept(ItemKind::VmList, Version, Origin::Platform, "platform", Now);
+}
+
+void Spread::onPart(const Digest &Hash, const std::string *Text,
+                    TimePoint Now) {
+  if (!this->Fetch.onPart(Hash, Text, Now))
+    this->audit(AuditKind::DigestMismatch, ItemKind::Config,
+                this->Fetch.target(), "platform", "value " + Hash.str());
+  this->finishFetch(Now);
+}
+
+void Spread::finishFetch(TimePoint Now) {
+  const CatalogStore &Store = this->store(ItemKind::Config);
+  if (this->Fetch.target().none())
+    return;
+  const WholeVersionPtr Whole = this->Fetch.whole(Store);
+  if (Whole == nullptr) {
+    this->Fetch.poll(Store, Now, this->Actions);
+    return;
+  }
+  this->Fetch.clear();
+  this->accept(ItemKind::Config, Whole, Origin::Platform, "platform", Now);
+}
+
+void Spread::accept(ItemKind Kind, const WholeVersionPtr &Version, Origin How,
+                    const std::string &From, TimePoint Now) {
+  Stream &Target = this->stream(Kind);
+  const Verdict What = Target.Ledger.judge(Version->Id);
+  if (What == Verdict::Older && Kind == ItemKind::Config)
+    this->audit(AuditKind::IgnoredOlder, Kind, Version->Id, From, "");
+  if (What != Verdict::Wanted)
+    return;
+  if (Kind == ItemKind::Config && Target.Ledger.conflicts(Version->Id))
+    this->audit(AuditKind::Conflict, Kind, Version->Id, From,
+                "in force: " + Target.Ledger.inForce().text());
+  if (const std::optional<Error> Fault = this->Check(Kind, *Version)) {
+    Target.Ledger.refuse(Version->Id, Fault->message());
+    this->audit(AuditKind::Refused, Kind, Version->Id, From, Fault->message());
+    return;
+  }
+  Target.Ledger.apply(Version->Id);
+  Target.Store.put(Version);
+  Target.Pulls.onApplied(tagOf(Version->Id));
+  if (Kind == ItemKind::VmList)
+    this->applyVmList();
+  else
+    this->Tuning = this->PolicyOf(*Version);
+  this->Schedule.setOptions({.Readers = this->Tuning.Readers,
+                             .Base = this->Tuning.ReadBase,
+                             .Step = this->Tuning.ReadStep});
+  this->audit(AuditKind::Applied, Kind, Version->Id, From, "");
+  this->Actions.emplace_back(VersionInForce{Kind});
+  this->forward(Kind, How, Address(From), Now);
+}
+
+void Spread::applyVmList() {
+  const WholeVersionPtr List = this->store(ItemKind::VmList).current();
+  std::vector<Vm> All;
+  for (const CatalogEntry &Each : List->Content.Entries) {
+    const auto Vms = parseVmPart(Each.Path, List->text(Each.Path));
+    All.insert(All.end(), Vms.value().begin(), Vms.value().end());
+  }
+  this->Nodes = Topology(All, this->Options.Self, this->Options.Domain);
+  this->Schedule.setRank(this->Nodes.rank(), this->Nodes.size());
+  this->Members.retain([this](const VmName &Name) {
+    return this->Nodes.findByName(Name) != nullptr;
+  });
+}
+
+void Spread::forward(ItemKind Kind, Origin How, const Address &From,
+                     TimePoint Now) {
+  if (this->holding(Now) || this->Tuning.Strategy != "tree")
+    return;
+  const bool WithContent = this->Tuning.PushContent && How != Origin::Pull;
+  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
+  for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
+    if (Child != From)
+      this->push(Child, Kind, WithContent, Now);
+  const auto &Members = this->Nodes.domainMembers();
+  if (How != Origin::Push && this->Nodes.rank() > 0 && !Members.empty())
+    this->push(Members.front().Ip, Kind, false, Now);
+}
+
+void Spread::push(const Address &To, ItemKind Kind, bool WithContent,
+                  TimePoint Now) {
+  const CatalogStore &Store = this->store(Kind);
+  if (WithContent) {
+    TransferMessage Message = Store.transferFrom(Store.previousId());
+    Message.Pushed = true;
+    this->Actions.emplace_back(SendControl{To, std::move(Message)});
+  } else {
+    this->Actions.emplace_back(SendControl{
+        To, OfferMessage{.Kind = Kind, .Version = Store.currentId()}});
+  }
+  this->Pushes.add({.Peer = To,
+                    .Kind = Kind,
+                    .Version = tagOf(Store.currentId()),
+                    .Deadline = Now + this->Tuning.AckLimit});
+}
+
+void Spread::adopt(const std::vector<OpenPush> &Lost, TimePoint Now) {
+  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
+  for (const OpenPush &Each : Lost) {
+    const size_t Rank = this->Nodes.rankOf(Each.Peer);
+    if (Rank >= this->Nodes.domainMembers().size() ||
+        Rank <= this->Nodes.rank())
+      continue;
+    for (const Address &Child : this->Nodes.children(Rank, FanOut))
+      this->push(Child, Each.Kind, this->Tuning.PushContent, Now);
+  }
+}
+
+void Spread::onSendFailed(const Address &To, TimePoint Now) {
+  this->adopt(this->Pushes.takeFailed(To), Now);
+  for (const ItemKind Kind : Kinds)
+    this->stream(Kind).Pulls.onSendFailed(To);
+}
+
+void Spread::setOwnState(MemberState State, TimePoint Now) {
+  if (!this->Members.setOwnState(State))
+    return;
+  this->audit(AuditKind::StateChanged, ItemKind::VmList, VersionId(), "self",
+              memberStateName(State));
+  this->forwardWords({this->Members.own()}, Address());
+  const auto &Members = this->Nodes.domainMembers();
+  std::vector<Address> Roots = this->Nodes.otherRoots();
+  if (!Members.empty() && this->Nodes.rank() > 0)
+    Roots.push_back(Members.front().Ip);
+  for (const Address &Root : Roots)
+    this->Actions.emplace_back(
+        SendControl{Root, WordsMessage{{this->Members.own()}}});
+  this->NextDigest = Now;
+}
+
+void Spread::forwardWords(const std::vector<MemberWord> &Words,
+                          const Address &From) {
+  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
+  for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
+    if (Child != From)
+      this->Actions.emplace_back(SendControl{Child, WordsMessage{Words}});
+}
+
+bool Spread::mergeWord(const MemberWord &Word) {
+  if (Word.Name.empty() || !this->Members.merge(Word))
+    return false;
+  this->Actions.emplace_back(WordChanged{Word});
+  return true;
+}
+
+void Spread::onPaused(Duration Length, TimePoint Now) {
+  this->audit(AuditKind::Paused, ItemKind::Config, VersionId(), "self",
+              std::to_string(toMilliseconds(Length)) + " ms");
+  this->HoldUntil = Now + MaxHold;
+  this->Pushes.clear();
+  for (const ItemKind Kind : Kinds)
+    this->stream(Kind).Pulls.clear();
+  this->askPeers(2, 1, Now);
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/spread/spreadmessages.h
@@ -0,0 +1,167 @@
+#ifndef BLUEBELLBARROW_SPREAD_SPREADMESSAGES_H
+#define BLUEBELLBARROW_SPREAD_SPREADMESSAGES_H
+
+#include "kernel/ids.h"
+#include "plugins/membership/memberword.h"
+#include "tree/catalog.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** A version in short: enough to order two versions. */
+struct VersionTag {
+  VersionNumber Number;
+
+  /** First 64 bits of the version's digest. */
+  uint64_t HashPrefix = 0;
+
+  auto operator<=>(const VersionTag &) const = default;
+
+  bool none() const { return this->Number.value() == 0; }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Number, this->HashPrefix);
+  }
+};
+
+/** Returns the tag of \a Version. Thread safety: safe. */
+VersionTag tagOf(const VersionId &Version);
+
+/** The newest read of the platform that a node knows of in its domain. */
+struct ReadNews {
+  /** Rank of the node that read. */
+  uint16_t Rank = 0xffff;
+
+  /** Milliseconds since the last good read. */
+  uint32_t GoodAge = 0xffffffff;
+
+  /** Milliseconds since the last try, good or failed. */
+  uint32_t TryAge = 0xffffffff;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Rank, this->GoodAge, this->TryAge);
+  }
+};
+
+/** Why a digest is sent. */
+enum class DigestPurpose : uint8_t { Round = 0, Ask = 1, Answer = 2 };
+
+/** The periodic datagram between nodes. */
+struct DigestMessage {
+  MeshId Mesh;
+  DigestPurpose Purpose = DigestPurpose::Round;
+  MemberWord Sender;
+
+  /** The versions in force, by ItemKind. */
+  std::array<VersionTag, ItemKindCount> Versions;
+
+  FailureDomain Domain;
+  ReadNews Read;
+
+  /** Recent words of others. */
+  std::vector<MemberWord> News;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    auto Raw = static_cast<uint8_t>(this->Purpose);
+    Ar(this->Mesh, Raw, this->Sender, this->Versions[0], this->Versions[1],
+       this->Domain, this->Read, this->News);
+    this->Purpose = static_cast<DigestPurpose>(Raw);
+  }
+};
+
+/** Says that a version can be pulled from the sender. */
+struct OfferMessage {
+  ItemKind Kind = ItemKind::Config;
+  VersionId Version;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Kind, this->Version);
+  }
+};
+
+/** A version, whole or as the change from a base. */
+struct TransferMessage {
+  ItemKind Kind = ItemKind::Config;
+  VersionId Version;
+
+  /** Version that the entries change; none for a whole transfer. */
+  VersionId Base;
+
+  /** True when the sender wants an AckMessage. */
+  bool Pushed = false;
+
+  /** The catalog, with only the entries that differ from the base. */
+  Catalog Changes;
+
+  /** Paths of the base that the version does not have. */
+  std::vector<std::string> Removed;
+
+  /** Texts of the entries that the base does not hold. */
+  std::vector<std::string> Texts;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Kind, this->Version, this->Base, this->Pushed, this->Changes,
+       this->Removed, this->Texts);
+  }
+};
+
+/** Answers an offer or a push: the sender has the version or a newer one. */
+struct AckMessage {
+  ItemKind Kind = ItemKind::Config;
+  VersionId Version;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Kind, this->Version);
+  }
+};
+
+/** Asks for the version in force at the receiver. */
+struct PullMessage {
+  ItemKind Kind = ItemKind::Config;
+
+  /** What the sender has; none for nothing. */
+  VersionId Have;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Kind, this->Have);
+  }
+};
+
+/** Answers a pull that the receiver can't serve now. */
+struct BusyMessage {
+  ItemKind Kind = ItemKind::Config;
+
+  /** Milliseconds to wait before asking again. */
+  uint32_t RetryAfter = 0;
+
+  /** A node that was served lately; empty for none. */
+  Address Other;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Kind, this->RetryAfter, this->Other);
+  }
+};
+
+/** Words that go down the tree at once. */
+struct WordsMessage {
+  std::vector<MemberWord> Words;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(this->Words); }
+};
+
+/** Any message of a control stream; the index is the frame's kind. */
+using ControlMessage = std::variant<OfferMessage, TransferMessage, AckMessage,
+                                    PullMessage, BusyMessage, WordsMessage>;
+
+/** Returns the name of a message for metrics and golden files. */
+const char *controlMessageName(const ControlMessage &Message);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_SPREADMESSAGES_H
--- /dev/null
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -0,0 +1,257 @@
+/**
+ * \file
+ * The part of Spread that talks with peers: digests, control messages, and the
+ * polls that start reads and questions.
+ */
+
+#include "spread.h"
+
+#include <algorithm>
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr std::array<ItemKind, ItemKindCount> Kinds = {ItemKind::Config,
+                                                       ItemKind::VmList};
+constexpr Duration AskInterval = milliseconds(200);
+constexpr Duration SeedSilence = milliseconds(600);
+constexpr Duration ReadGrace = seconds(2);
+constexpr Duration TransferWindowLength = milliseconds(250);
+constexpr uint32_t BusyRetryMs = 300;
+constexpr size_t AskedInside = 6;
+constexpr size_t AskedOutside = 6;
+constexpr size_t MaxNewsInDigest = 4;
+constexpr size_t Successors = 3;
+
+} // namespace
+
+void Spread::onMessage(const Address &From, const ControlMessage &Message,
+                       TimePoint Now) {
+  if (const auto *Offer = std::get_if<OfferMessage>(&Message))
+    this->onOffer(From, *Offer, Now);
+  else if (const auto *Transfer = std::get_if<TransferMessage>(&Message))
+    this->onTransfer(From, *Transfer, Now);
+  else if (const auto *Ack = std::get_if<AckMessage>(&Message))
+    this->Pushes.onAck(From, Ack->Kind, tagOf(Ack->Version));
+  else if (const auto *Pull = std::get_if<PullMessage>(&Message))
+    this->onPull(From, *Pull, Now);
+  else if (const auto *Busy = std::get_if<BusyMessage>(&Message))
+    this->stream(Busy->Kind).Pulls.onBusy(From, *Busy, Now);
+  else if (const auto *Words = std::get_if<WordsMessage>(&Message))
+    this->onWords(From, *Words);
+}
+
+void Spread::onOffer(const Address &From, const OfferMessage &Message,
+                     TimePoint Now) {
+  Stream &Target = this->stream(Message.Kind);
+  this->Actions.emplace_back(SendControl{
+      From, AckMessage{.Kind = Message.Kind, .Version = Message.Version}});
+  if (Message.Kind == ItemKind::Config)
+    this->Boot.onHeard(tagOf(Message.Version), Now);
+  if (Target.Ledger.judge(Message.Version) == Verdict::Wanted)
+    Target.Pulls.onNewer(From, tagOf(Message.Version), true, Now);
+}
+
+void Spread::onTransfer(const Address &From, const TransferMessage &Message,
+                        TimePoint Now) {
+  Stream &Target = this->stream(Message.Kind);
+  if (Message.Pushed)
+    this->Actions.emplace_back(SendControl{
+        From, AckMessage{.Kind = Message.Kind, .Version = Message.Version}});
+  else
+    Target.Pulls.onTransfer(From);
+  if (Target.Ledger.judge(Message.Version) != Verdict::Wanted)
+    return;
+
+  const Result<WholeVersionPtr> Version = Target.Store.rebuild(Message);
+  if (Version) {
+    this->accept(Message.Kind, Version.value(),
+                 Message.Pushed ? Origin::Push : Origin::Pull, From.str(), Now);
+    return;
+  }
+  if (Version.error().Code == Errc::NotFound) {
+    Target.Pulls.pullWhole(From, Now, this->Actions);
+    return;
+  }
+  this->audit(AuditKind::DigestMismatch, Message.Kind, Message.Version,
+              From.str(), Version.error().message());
+}
+
+void Spread::onPull(const Address &From, const PullMessage &Message,
+                    TimePoint Now) {
+  const CatalogStore &Store = this->store(Message.Kind);
+  BusyMessage Busy{.Kind = Message.Kind, .RetryAfter = BusyRetryMs};
+  if (Store.current() == nullptr || this->holding(Now)) {
+    this->Actions.emplace_back(SendControl{From, Busy});
+    return;
+  }
+  TransferMessage Transfer = Store.transferFrom(Message.Have);
+  if (Transfer.Base.none()) {
+    if (Now - this->TransferWindow >= TransferWindowLength) {
+      this->TransferWindow = Now;
+      this->TransfersInWindow = 0;
+    }
+    if (this->TransfersInWindow >= this->Tuning.MaxTransfers) {
+      Busy.Other = this->LastServed == From ? Address() : this->LastServed;
+      this->Actions.emplace_back(SendControl{From, Busy});
+      return;
+    }
+    this->TransfersInWindow += 1;
+    this->LastServed = From;
+  }
+  this->Actions.emplace_back(SendControl{From, std::move(Transfer)});
+}
+
+void Spread::onWords(const Address &From, const WordsMessage &Message) {
+  std::vector<MemberWord> News;
+  for (const MemberWord &Word : Message.Words)
+    if (this->mergeWord(Word))
+      News.push_back(Word);
+  if (!News.empty())
+    this->forwardWords(News, From);
+}
+
+void Spread::onDigest(const Address &From, const DigestMessage &Message,
+                      TimePoint Now) {
+  if (Message.Mesh != this->Mesh)
+    return;
+  if (Message.Purpose == DigestPurpose::Ask)
+    this->sendDigest(From, DigestPurpose::Answer, Now);
+  if (Message.Sender.Name.empty() || Message.Sender.Name == this->Options.Self)
+    return;
+
+  this->HoldUntil = std::min(this->HoldUntil, Now);
+  this->mergeWord(Message.Sender);
+  for (const MemberWord &Word : Message.News)
+    this->mergeWord(Word);
+  if (Message.Domain == this->Options.Domain)
+    this->Schedule.onHeard(Message.Read, Now);
+  this->compareVersions(From, Message, Now);
+}
+
+void Spread::compareVersions(const Address &From, const DigestMessage &Message,
+                             TimePoint Now) {
+  bool PeerIsBehind = false;
+  this->Boot.onHeard(Message.Versions[0], Now);
+  for (const ItemKind Kind : Kinds) {
+    Stream &Target = this->stream(Kind);
+    const VersionTag &Theirs = Message.Versions[static_cast<size_t>(Kind)];
+    const VersionTag Ours = tagOf(Target.Ledger.inForce());
+    this->Pushes.onAck(From, Kind, Theirs);
+    if (Target.Ledger.wants(Theirs))
+      Target.Pulls.onNewer(From, Theirs, !this->Boot.settled(), Now);
+    PeerIsBehind = PeerIsBehind || Theirs < Ours;
+  }
+  if (PeerIsBehind && Message.Purpose == DigestPurpose::Round)
+    this->sendDigest(From, DigestPurpose::Answer, Now);
+}
+
+DigestMessage Spread::digest(DigestPurpose Purpose, TimePoint Now) const {
+  DigestMessage Message{.Mesh = this->Mesh,
+                        .Purpose = Purpose,
+                        .Sender = this->Members.own(),
+                        .Versions = {},
+                        .Domain = this->Options.Domain,
+                        .Read = this->Schedule.news(Now),
+                        .News = this->Members.recentNews(MaxNewsInDigest)};
+  for (const ItemKind Kind : Kinds)
+    Message.Versions[static_cast<size_t>(Kind)] =
+        tagOf(this->ledger(Kind).inForce());
+  return Message;
+}
+
+void Spread::sendDigest(const Address &To, DigestPurpose Purpose,
+                        TimePoint Now) {
+  this->Actions.emplace_back(SendDigest{To, this->digest(Purpose, Now)});
+}
+
+void Spread::askPeers(size_t Inside, size_t Outside, TimePoint Now) {
+  for (size_t Count = 0; Count < Inside; ++Count)
+    if (const Vm *Peer = this->Nodes.drawInside(this->Random))
+      this->sendDigest(Peer->Ip, DigestPurpose::Ask, Now);
+  for (size_t Count = 0; Count < Outside; ++Count)
+    if (const Vm *Peer = this->Nodes.drawOutside(this->Random))
+      this->sendDigest(Peer->Ip, DigestPurpose::Ask, Now);
+}
+
+void Spread::pollBoot(TimePoint Now) {
+  if (this->Boot.settled() || Now < this->NextAsk)
+    return;
+  this->NextAsk = Now + AskInterval;
+  if (this->Nodes.size() == 0) {
+    for (const Address &Seed : this->Options.Seeds)
+      this->sendDigest(Seed, DigestPurpose::Ask, Now);
+    const Duration Silence =
+        this->Options.Seeds.empty() ? Duration::zero() : SeedSilence;
+    if (Now - this->Started >= Silence)
+      this->startRead(ItemKind::VmList, Duration::zero(), Now);
+    return;
+  }
+  this->Boot.onAsked(Now);
+  const VersionTag InForce = tagOf(this->ledger(ItemKind::Config).inForce());
+  const SettledBy Cause = this->Boot.poll(InForce, Now);
+  if (Cause == SettledBy::NotYet) {
+    this->askPeers(AskedInside, AskedOutside, Now);
+    return;
+  }
+  this->audit(AuditKind::Settled, ItemKind::Config,
+              this->ledger(ItemKind::Config).inForce(), "self",
+              Cause == SettledBy::Peers     ? "peers told the newest version"
+              : Cause == SettledBy::Silence ? "peers were silent"
+                                            : "peers could not hand it over");
+}
+
+void Spread::pollReads(TimePoint Now) {
+  bool Open = false;
+  for (const ItemKind Kind : Kinds) {
+    const Watch &Read = this->stream(Kind).Read;
+    Open = Open || (Read.InFlight && Read.LastGood &&
+                    Now - Read.Started <= Read.Wait + ReadGrace);
+  }
+  if (Open)
+    this->Schedule.onGoodRead(Now);
+  this->finishFetch(Now);
+  const bool Direct = this->Tuning.Strategy == "direct";
+  if (!this->Boot.settled() || this->holding(Now))
+    return;
+  if (!Direct && !this->Schedule.shouldRead(Now))
+    return;
+  for (const ItemKind Kind : Kinds)
+    this->startRead(Kind, this->Tuning.WatchWait, Now);
+}
+
+void Spread::startRead(ItemKind Kind, Duration Wait, TimePoint Now) {
+  Watch &Read = this->stream(Kind).Read;
+  if (Read.InFlight || Now < Read.NotBefore)
+    return;
+  Read.InFlight = true;
+  Read.Started = Now;
+  Read.Wait = Wait;
+  this->Actions.emplace_back(
+      ReadPlatform{.Kind = Kind, .ChangedSince = Read.Revision, .Wait = Wait});
+}
+
+void Spread::pollDigests(TimePoint Now) {
+  if (Now < this->NextDigest || this->Nodes.size() == 0)
+    return;
+  const int64_t Period = toMicroseconds(this->Tuning.DigestPeriod);
+  std::uniform_int_distribution<int64_t> Draw(Period * 9 / 10,
+                                              Period * 11 / 10);
+  this->NextDigest = Now + microseconds(Draw(this->Random));
+  for (int64_t Count = 0; Count < this->Tuning.DigestPeers; ++Count) {
+    const bool Inside = this->DigestRound++ % 2 == 0;
+    const Vm *Peer = Inside ? this->Nodes.drawInside(this->Random)
+                            : this->Nodes.drawOutside(this->Random);
+    if (Peer != nullptr)
+      this->sendDigest(Peer->Ip, DigestPurpose::Round, Now);
+  }
+  const auto Readers = static_cast<size_t>(this->Tuning.Readers);
+  const bool Reads = this->Schedule.news(Now).Rank == this->Schedule.rank();
+  const auto &Members = this->Nodes.domainMembers();
+  for (size_t Rank = 0; Reads && Rank < Readers + Successors; ++Rank)
+    if (Rank < Members.size() && Rank != this->Nodes.rank())
+      this->sendDigest(Members[Rank].Ip, DigestPurpose::Round, Now);
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/spread/topology.cpp
@@ -0,0 +1,97 @@
+#include "topology.h"
+
+#include "kernel/hashing.h"
+
+#include <algorithm>
+
+namespace bluebellbarrow {
+
+namespace {
+
+/** Sorts the nodes of one domain by descending rendezvous weight. */
+void sortByRank(std::vector<Vm> &Members) {
+  std::sort(Members.begin(), Members.end(), [](const Vm &A, const Vm &B) {
+    const uint64_t WeightA = rendezvousWeight(A.Domain.str(), A.Name.str());
+    const uint64_t WeightB = rendezvousWeight(B.Domain.str(), B.Name.str());
+    return WeightA != WeightB ? WeightA > WeightB : A.Name < B.Name;
+  });
+}
+
+const Vm *draw(const std::vector<Vm> &From, std::mt19937_64 &Random) {
+  if (From.empty())
+    return nullptr;
+  std::uniform_int_distribution<size_t> Index(0, From.size() - 1);
+  return &From[Index(Random)];
+}
+
+} // namespace
+
+Topology::Topology(const std::vector<Vm> &Vms, const VmName &Self,
+                   const FailureDomain &Domain)
+    : All(Vms), Self(Self) {
+  std::map<FailureDomain, std::vector<Vm>> Others;
+  for (size_t Index = 0; Index < Vms.size(); ++Index) {
+    const Vm &Each = Vms[Index];
+    this->ByAddress.emplace(Each.Ip, Index);
+    this->ByName.emplace(Each.Name, Index);
+    if (Each.Domain == Domain) {
+      this->Own.push_back(Each);
+      continue;
+    }
+    this->Outside.push_back(Each);
+    Others[Each.Domain].push_back(Each);
+  }
+  sortByRank(this->Own);
+  this->OwnRank = this->Own.size();
+  for (size_t Rank = 0; Rank < this->Own.size(); ++Rank) {
+    this->OwnRanks.emplace(this->Own[Rank].Ip, Rank);
+    if (this->Own[Rank].Name == Self)
+      this->OwnRank = Rank;
+  }
+  for (auto &[Name, Members] : Others) {
+    sortByRank(Members);
+    this->OtherRoots.push_back(Members.front().Ip);
+  }
+}
+
+std::vector<Address> Topology::children(size_t Rank, size_t FanOut) const {
+  std::vector<Address> Children;
+  for (size_t Index = 1; Index <= FanOut; ++Index) {
+    const size_t Child = Rank * FanOut + Index;
+    if (Child < this->Own.size() && this->Own[Child].Name != this->Self)
+      Children.push_back(this->Own[Child].Ip);
+  }
+  return Children;
+}
+
+size_t Topology::rankOf(const Address &Ip) const {
+  const auto Found = this->OwnRanks.find(Ip);
+  return Found == this->OwnRanks.end() ? this->Own.size() : Found->second;
+}
+
+std::vector<Address> Topology::otherRoots() const { return this->OtherRoots; }
+
+const Vm *Topology::findByAddress(const Address &Ip) const {
+  const auto Found = this->ByAddress.find(Ip);
+  return Found == this->ByAddress.end() ? nullptr : &this->All[Found->second];
+}
+
+const Vm *Topology::findByName(const VmName &Name) const {
+  const auto Found = this->ByName.find(Name);
+  return Found == this->ByName.end() ? nullptr : &this->All[Found->second];
+}
+
+const Vm *Topology::drawInside(std::mt19937_64 &Random) const {
+  const Vm *Drawn = draw(this->Own, Random);
+  if (Drawn == nullptr || Drawn->Name != this->Self)
+    return Drawn;
+  if (this->Own.size() < 2)
+    return nullptr;
+  return &this->Own[(this->OwnRank + 1) % this->Own.size()];
+}
+
+const Vm *Topology::drawOutside(std::mt19937_64 &Random) const {
+  return draw(this->Outside, Random);
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/spread/topology.h
@@ -0,0 +1,71 @@
+#ifndef BLUEBELLBARROW_SPREAD_TOPOLOGY_H
+#define BLUEBELLBARROW_SPREAD_TOPOLOGY_H
+
+#include "tree/vmlist.h"
+
+#include <map>
+#include <random>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/**
+ * The nodes of the VM list as the spread sees them: in each failure domain a
+ * fixed order, which gives ranks and a tree without any message.
+ *
+ * Method: rendezvous hashing of the domain's name and the VM's name.
+ * Thread safety: immutable but for the caller's random source.
+ */
+class Topology {
+public:
+  Topology() = default;
+
+  Topology(const std::vector<Vm> &Vms, const VmName &Self,
+           const FailureDomain &Domain);
+
+  /** Returns the number of nodes of all domains. */
+  size_t size() const { return this->All.size(); }
+
+  /** Returns this node's rank in its domain; the domain's size if unlisted. */
+  size_t rank() const { return this->OwnRank; }
+
+  /** Returns the nodes of this node's domain by rank. */
+  const std::vector<Vm> &domainMembers() const { return this->Own; }
+
+  /** Returns the children of the node with \a Rank in a tree of \a FanOut. */
+  std::vector<Address> children(size_t Rank, size_t FanOut) const;
+
+  /** Returns the rank of the node at \a Ip; the domain's size if unknown. */
+  size_t rankOf(const Address &Ip) const;
+
+  /** Returns the first node by rank of each other domain. */
+  std::vector<Address> otherRoots() const;
+
+  /** Returns the VM at \a Ip, or null. */
+  const Vm *findByAddress(const Address &Ip) const;
+
+  const Vm *findByName(const VmName &Name) const;
+
+  /** Draws a node of this domain other than this one; null if none. */
+  const Vm *drawInside(std::mt19937_64 &Random) const;
+
+  /** Draws a node of another domain; null if none. */
+  const Vm *drawOutside(std::mt19937_64 &Random) const;
+
+  const std::vector<Vm> &all() const { return this->All; }
+
+private:
+  std::vector<Vm> All;
+  std::vector<Vm> Own;
+  std::vector<Vm> Outside;
+  std::vector<Address> OtherRoots;
+  std::map<Address, size_t> ByAddress;
+  std::map<Address, size_t> OwnRanks;
+  std::map<VmName, size_t> ByName;
+  size_t OwnRank = 0;
+  VmName Self;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_TOPOLOGY_H
--- /dev/null
+++ b/src/plugins/spread/versionledger.h
@@ -0,0 +1,66 @@
+#ifndef BLUEBELLBARROW_SPREAD_VERSIONLEDGER_H
+#define BLUEBELLBARROW_SPREAD_VERSIONLEDGER_H
+
+#include "kernel/clock.h"
+#include "spreadmessages.h"
+#include "tree/catalog.h"
+
+#include <map>
+#include <string>
+
+namespace bluebellbarrow {
+
+/** What a node does about a version that it hears of. */
+enum class Verdict {
+  /** Older than the one in force; never applied. */
+  Older,
+
+  /** The one in force. */
+  InForce,
+
+  /** Checked before and found bad. */
+  Refused,
+
+  /** Newer than the one in force: to be fetched and checked. */
+  Wanted,
+};
+
+/**
+ * Decides which versions of one kind may come into force. Versions only go
+ * up, in the order of VersionId, whatever the source.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class VersionLedger {
+public:
+  /** Returns what to do about \a Version. */
+  Verdict judge(const VersionId &Version) const;
+
+  /** Returns true when \a Tag stands for a version that is wanted. */
+  bool wants(const VersionTag &Tag) const;
+
+  /**
+   * Returns true when \a Version has the number of the one in force, or of a
+   * refused one, and another digest.
+   */
+  bool conflicts(const VersionId &Version) const;
+
+  /** Records that \a Version is in force. \pre judge() says Wanted. */
+  void apply(const VersionId &Version);
+
+  /** Records that \a Version is bad. */
+  void refuse(const VersionId &Version, const std::string &Reason);
+
+  const VersionId &inForce() const { return this->Current; }
+
+  /** Returns the refused versions and why. */
+  const std::map<VersionId, std::string> &refused() const { return this->Bad; }
+
+private:
+  VersionId Current;
+  std::map<VersionId, std::string> Bad;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_VERSIONLEDGER_H
--- /dev/null
+++ b/src/tree/branch.cpp
@@ -0,0 +1,236 @@
+#include "branch.h"
+
+#include "policy.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr size_t MaxNameLength = 63;
+
+const std::array<KeySpec, 4> OwnKeys = {{
+    {"mesh", "name", KeyType::Text, 1, MaxNameLength, "", "name of the mesh"},
+    {"service", "about", KeyType::Text, 0, 150, "", "what the service is for"},
+    {"route", "match", KeyType::Text, 1, 150, "", "method and path prefix"},
+    {"route", "calls", KeyType::Text, 0, 150, "", "services that it calls"},
+}};
+
+struct SectionRule {
+  BranchKind Kind;
+  const char *Section;
+};
+
+/** The sections that each kind of branch may hold. */
+constexpr std::array<SectionRule, 11> SectionRules = {{
+    {BranchKind::Mesh, "mesh"},
+    {BranchKind::Mesh, "policy"},
+    {BranchKind::Mesh, "spread"},
+    {BranchKind::Place, "place"},
+    {BranchKind::Place, "policy"},
+    {BranchKind::Place, "spread"},
+    {BranchKind::Service, "service"},
+    {BranchKind::Service, "policy"},
+    {BranchKind::Service, "route"},
+    {BranchKind::PlaceService, "policy"},
+    {BranchKind::PlaceService, "route"},
+}};
+
+bool mayHold(BranchKind Kind, const std::string &Section) {
+  return std::any_of(SectionRules.begin(), SectionRules.end(),
+                     [&](const SectionRule &Rule) {
+                       return Rule.Kind == Kind && Section == Rule.Section;
+                     });
+}
+
+bool isName(const std::string &Text) {
+  const auto Allowed = [](char Character) {
+    return (Character >= 'a' && Character <= 'z') ||
+           (Character >= '0' && Character <= '9') || Character == '-';
+  };
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::all_of(Text.begin(), Text.end(), Allowed);
+}
+
+std::vector<std::string> splitBy(const std::string &Text, char Separator) {
+  std::vector<std::string> Parts;
+  std::istringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, Separator);)
+    Parts.push_back(Part);
+  return Parts;
+}
+
+/** Sets kind, place and service from the path; false for a bad path. */
+bool classify(Branch &Target) {
+  const std::vector<std::string> Names = splitBy(Target.Path, '/');
+  if (!std::all_of(Names.begin(), Names.end(), isName))
+    return false;
+  if (Target.Path == "mesh")
+    return true;
+  if (Names.size() == 2 && Names[0] == "service") {
+    Target.Kind = BranchKind::Service;
+    Target.Service = ServiceName(Names[1]);
+    return true;
+  }
+  if (Names.size() < 2 || Names.size() > 3 || Names[0] != "place")
+    return false;
+  Target.Kind =
+      Names.size() == 2 ? BranchKind::Place : BranchKind::PlaceService;
+  Target.Place = FailureDomain(Names[1]);
+  if (Names.size() == 3)
+    Target.Service = ServiceName(Names[2]);
+  return true;
+}
+
+const std::vector<KeySpec> &allKeys() {
+  static const std::vector<KeySpec> Keys = [] {
+    std::vector<KeySpec> All(OwnKeys.begin(), OwnKeys.end());
+    for (const auto &Field : policyFields()) {
+      All.push_back(Field.Key);
+      All.push_back(Field.Key);
+      All.back().Section = "route";
+    }
+    for (const auto &Field : spreadFields())
+      All.push_back(Field.Key);
+    All.push_back(
+        {"place", "about", KeyType::Text, 0, 150, "", "what the place is"});
+    return All;
+  }();
+  return Keys;
+}
+
+template <typename Fields>
+size_t fieldIndex(const Fields &Table, const std::string &Key) {
+  const auto Found =
+      std::find_if(Table.begin(), Table.end(),
+                   [&Key](const auto &Field) { return Key == Field.Key.Key; });
+  return static_cast<size_t>(Found - Table.begin());
+}
+
+Result<std::monostate> storeMatch(RouteBranch &Route, const IniEntry &Entry) {
+  static const std::array<const char *, 5> Methods = {"GET", "POST", "PUT",
+                                                      "PATCH", "DELETE"};
+  const size_t Space = Entry.Value.find(' ');
+  Route.Method = Entry.Value.substr(0, Space);
+  Route.PathPrefix =
+      Space == std::string::npos ? "" : Entry.Value.substr(Space + 1);
+  const bool Known =
+      std::find(Methods.begin(), Methods.end(), Route.Method) != Methods.end();
+  if (!Known || Route.PathPrefix.empty() || Route.PathPrefix[0] != '/' ||
+      Route.PathPrefix.find(' ') != std::string::npos)
+    return makeError(Errc::BadValue, "", "",
+                     "'" + Entry.Value + "' is not 'METHOD /path'");
+  return std::monostate();
+}
+
+Result<std::monostate> storeCalls(RouteBranch &Route, const IniEntry &Entry) {
+  for (std::string Name : splitBy(Entry.Value, ',')) {
+    std::erase(Name, ' ');
+    if (!isName(Name))
+      return makeError(Errc::BadValue, "", "",
+                       "'" + Name + "' is not the name of a service");
+    Route.Calls.emplace_back(Name);
+  }
+  return std::monostate();
+}
+
+RouteBranch &routeOf(Branch &Target, const std::string &Name) {
+  for (RouteBranch &Each : Target.Routes)
+    if (Each.Name.str() == Name)
+      return Each;
+  Target.Routes.push_back({.Name = RouteName(Name)});
+  return Target.Routes.back();
+}
+
+Result<std::monostate> storeRoute(Branch &Target, const IniEntry &Entry,
+                                  double Base) {
+  const std::string Name = sectionName(Entry.Section);
+  if (!isName(Name))
+    return makeError(Errc::BadValue, "", "",
+                     "'" + Name + "' is not the name of a route");
+  RouteBranch &Route = routeOf(Target, Name);
+  const bool Refines = Target.Kind == BranchKind::PlaceService;
+  if (Refines && (Entry.Key == "match" || Entry.Key == "calls"))
+    return makeError(Errc::UnknownKey, "", "", "a place can't change it");
+  if (Route.Line == 0 || Entry.Key == "match" || Entry.Key == "calls")
+    Route.Line = Entry.Line;
+  if (Entry.Key == "match")
+    return storeMatch(Route, Entry);
+  if (Entry.Key == "calls")
+    return storeCalls(Route, Entry);
+  Route.Policy.push_back({.Field = fieldIndex(policyFields(), Entry.Key),
+                          .Text = Entry.Value,
+                          .Base = Base,
+                          .Line = Entry.Line});
+  return std::monostate();
+}
+
+Result<std::monostate> storeEntry(Branch &Target, const KeySpec &Spec,
+                                  const IniEntry &Entry, double Base) {
+  const std::string Kind = Spec.Section;
+  Override Value{
+      .Field = 0, .Text = Entry.Value, .Base = Base, .Line = Entry.Line};
+  if (Kind == "route")
+    return storeRoute(Target, Entry, Base);
+  if (Kind == "mesh")
+    Target.MeshName = Entry.Value;
+  if (Kind == "policy") {
+    Value.Field = fieldIndex(policyFields(), Entry.Key);
+    Target.Policy.push_back(Value);
+  }
+  if (Kind == "spread") {
+    Value.Field = fieldIndex(spreadFields(), Entry.Key);
+    Target.Spread.push_back(Value);
+  }
+  return std::monostate();
+}
+
+Result<std::monostate> checkSections(const Branch &Target,
+                                     const IniFile &File) {
+  for (const std::string &Section : File.Sections) {
+    const std::string Kind = sectionKind(Section);
+    if (!mayHold(Target.Kind, Kind))
+      return makeError(Errc::UnknownKey, File.Name, "",
+                       "section [" + Section + "] has no place here");
+    if (Kind != "route" && Kind != Section)
+      return makeError(Errc::UnknownKey, File.Name, "",
+                       "section [" + Section + "] takes no name");
+  }
+  return std::monostate();
+}
+
+} // namespace
+
+Result<Branch> parseBranch(const std::string &Path, std::string_view Text) {
+  Branch Target{.Path = Path};
+  const std::string Name = Path + ".ini";
+  if (!classify(Target))
+    return makeError(Errc::BadValue, Name, "",
+                     "not the path of a branch: expected mesh, place/NAME, "
+                     "service/NAME or place/NAME/SERVICE");
+  const Result<IniFile> File = parseIni(Name, Text);
+  if (!File)
+    return File.error();
+  const auto Sections = checkSections(Target, File.value());
+  if (!Sections)
+    return Sections.error();
+  const auto Checked = checkEntries(
+      File.value(), allKeys(),
+      [&Target](const KeySpec &Spec, const IniEntry &Entry, double Base) {
+        return storeEntry(Target, Spec, Entry, Base);
+      });
+  if (!Checked)
+    return Checked.error();
+  if (Target.Kind == BranchKind::Mesh && Target.MeshName.empty())
+    return makeError(Errc::Incomplete, Name, "", "[mesh] has no key 'name'");
+  for (const RouteBranch &Route : Target.Routes)
+    if (Target.Kind == BranchKind::Service && Route.Method.empty())
+      return lineError(Errc::Incomplete, Name, Route.Line,
+                       "route '" + Route.Name.str() + "' has no key 'match'");
+  return Target;
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/tree/catalog.cpp
@@ -0,0 +1,122 @@
+#include "catalog.h"
+
+#include "kernel/hashing.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace bluebellbarrow {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int ManifestFormat = 1;
+constexpr size_t ShownDigits = 8;
+
+bool isDigest(const std::string &Text) {
+  return Text.size() == 64 &&
+         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+Error badManifest(const std::string &Detail) {
+  return makeError(Errc::BadSyntax, "read manifest", "", Detail);
+}
+
+bool wellFormed(const Catalog &Of) {
+  const auto SamePath = [](const CatalogEntry &A, const CatalogEntry &B) {
+    return A.Path >= B.Path;
+  };
+  const bool Sorted = std::adjacent_find(Of.Entries.begin(), Of.Entries.end(),
+                                         SamePath) == Of.Entries.end();
+  const bool Digests = std::all_of(
+      Of.Entries.begin(), Of.Entries.end(),
+      [](const CatalogEntry &Each) { return isDigest(Each.Hash.str()); });
+  return Sorted && Digests && Of.Number.value() > 0;
+}
+
+} // namespace
+
+const char *itemKindName(ItemKind Kind) {
+  return Kind == ItemKind::Config ? "config" : "vm-list";
+}
+
+std::string VersionId::text() const {
+  if (this->none())
+    return "none";
+  return std::to_string(this->Number.value()) + "-" +
+         this->Hash.str().substr(0, ShownDigits);
+}
+
+VersionId versionOf(const Catalog &Of) {
+  return {Of.Number, digestOf(toManifest(Of))};
+}
+
+std::string toManifest(const Catalog &Of) {
+  Json Branches = Json::array();
+  for (const CatalogEntry &Each : Of.Entries)
+    Branches.push_back({{"path", Each.Path},
+                        {"digest", Each.Hash.str()},
+                        {"size", Each.Size}});
+  Json Bundles = Json::array();
+  for (const CatalogBundle &Each : Of.Bundles)
+    Bundles.push_back({{"digest", Each.Hash.str()}, {"size", Each.Size}});
+  return Json{{"format", ManifestFormat},     {"mesh", Of.Mesh},
+              {"version", Of.Number.value()}, {"parent", Of.Parent.value()},
+              {"branches", Branches},         {"bundles", Bundles}}
+      .dump();
+}
+
+Result<Catalog> parseManifest(const std::string &Text) {
+  try {
+    const Json Root = Json::parse(Text);
+    if (Root.at("format").get<int>() != ManifestFormat)
+      return badManifest("format is not supported");
+    Catalog Of{.Mesh = Root.at("mesh").get<std::string>(),
+               .Number = VersionNumber(Root.at("version").get<uint64_t>()),
+               .Parent = VersionNumber(Root.at("parent").get<uint64_t>())};
+    for (const Json &Each : Root.at("branches"))
+      Of.Entries.push_back({Each.at("path").get<std::string>(),
+                            Digest(Each.at("digest").get<std::string>()),
+                            Each.at("size").get<uint64_t>()});
+    for (const Json &Each : Root.at("bundles"))
+      Of.Bundles.push_back({Digest(Each.at("digest").get<std::string>()),
+                            Each.at("size").get<uint64_t>()});
+    if (!wellFormed(Of))
+      return badManifest("paths are not sorted, or a digest is malformed");
+    return Of;
+  } catch (const Json::exception &Failure) {
+    return badManifest(Failure.what());
+  }
+}
+
+void addPart(Catalog &Of, PartsByDigest &Parts, const std::string &Path,
+             const std::string &Text) {
+  const Digest Hash = digestOf(Text);
+  Of.Entries.push_back({Path, Hash, Text.size()});
+  Parts.emplace(Hash, std::make_shared<const std::string>(Text));
+}
+
+std::string toBundle(const std::vector<PartText> &Parts) {
+  Json Texts = Json::array();
+  for (const PartText &Each : Parts)
+    Texts.push_back(*Each);
+  return Texts.dump();
+}
+
+Result<PartsByDigest> parseBundle(const std::string &Text) {
+  try {
+    PartsByDigest Parts;
+    const Json Root = Json::parse(Text);
+    for (const Json &Each : Root) {
+      auto Part = std::make_shared<const std::string>(Each.get<std::string>());
+      Parts.emplace(digestOf(*Part), Part);
+    }
+    return Parts;
+  } catch (const Json::exception &Failure) {
+    return makeError(Errc::BadSyntax, "read bundle", "", Failure.what());
+  }
+}
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/tree/policy.cpp
@@ -0,0 +1,109 @@
+#include "policy.h"
+
+#include <array>
+
+namespace bluebellbarrow {
+
+namespace {
+
+constexpr double Millisecond = 1e3;
+constexpr double Second = 1e6;
+constexpr double Minute = 60e6;
+constexpr double Megabyte = 1048576;
+
+const std::array<FieldSpec<Policy>, 12> PolicyTable = {{
+    {{"policy", "deadline", KeyType::Span, Millisecond, Minute, "2 s",
+      "time a call may take when the caller names none"},
+     &Policy::Deadline},
+    {{"policy", "slow-start", KeyType::Span, 0, 10 * Minute, "10 s",
+      "time in which a new target comes up to its full share"},
+     &Policy::SlowStart},
+    {{"policy", "key-memory", KeyType::Span, Second, 60 * Minute, "10 min",
+      "time for which a request under an Idempotency-Key is remembered"},
+     &Policy::KeyMemory},
+    {{"policy", "probe-period", KeyType::Span, 50 * Millisecond, Minute,
+      "500 ms", "time between two looks at the target's health"},
+     &Policy::ProbePeriod},
+    {{"policy", "retries", KeyType::Count, 0, 5, "2",
+      "further attempts after the first"},
+     &Policy::Retries},
+    {{"policy", "slots", KeyType::Count, 1, 1000, "10",
+      "requests that the target takes at once"},
+     &Policy::Slots},
+    {{"policy", "queue", KeyType::Count, 0, 1000, "10",
+      "requests that wait for a slot"},
+     &Policy::Queue},
+    {{"policy", "max-body", KeyType::Size, 0, 8 * Megabyte, "1 MB",
+      "largest body of a request or an answer"},
+     &Policy::MaxBody},
+    {{"policy", "retry-budget", KeyType::Ratio, 0, 1, "0.1",
+      "retries allowed for each first attempt"},
+     &Policy::RetryBudget},
+    {{"policy", "max-ejected", KeyType::Ratio, 0, 1, "0.5",
+      "share of a service that may be left out for its errors"},
+     &Policy::MaxEjected},
+    {{"policy", "idempotent", KeyType::Flag, 0, 1, "no",
+      "whether a request may run more than once"},
+     &Policy::Idempotent},
+    {{"policy", "balance", KeyType::Text, 1, 32, "two-choices",
+      "how an upstream is chosen"},
+     &Policy::Balance},
+}};
+
+const std::array<FieldSpec<SpreadPolicy>, 11> SpreadTable = {{
+    {{"spread", "digest-period", KeyType::Span, 50 * Millisecond, Minute,
+      "500 ms", "time between two rounds of digests"},
+     &SpreadPolicy::DigestPeriod},
+    {{"spread", "read-base", KeyType::Span, 100 * Millisecond, Minute,
+      "1500 ms", "age of the last read at which another node reads"},
+     &SpreadPolicy::ReadBase},
+    {{"spread", "read-step", KeyType::Span, 10 * Millisecond, Minute, "300 ms",
+      "time by which each further rank waits longer"},
+     &SpreadPolicy::ReadStep},
+    {{"spread", "watch-wait", KeyType::Span, 100 * Millisecond, 10 * Minute,
+      "20 s", "time for which the platform may hold a watch"},
+     &SpreadPolicy::WatchWait},
+    {{"spread", "ack-limit", KeyType::Span, 10 * Millisecond, Minute, "300 ms",
+      "time after which a push counts as lost"},
+     &SpreadPolicy::AckLimit},
+    {{"spread", "digest-peers", KeyType::Count, 0, 16, "2",
+      "nodes that get a digest in each round"},
+     &SpreadPolicy::DigestPeers},
+    {{"spread", "fan-out", KeyType::Count, 1, 64, "4",
+      "nodes to which a node pushes"},
+     &SpreadPolicy::FanOut},
+    {{"spread", "readers", KeyType::Count, 1, 16, "2",
+      "nodes of a failure domain that watch the platform"},
+     &SpreadPolicy::Readers},
+    {{"spread", "max-transfers", KeyType::Count, 1, 64, "4",
+      "whole transfers that a node serves at once"},
+     &SpreadPolicy::MaxTransfers},
+    {{"spread", "push-content", KeyType::Flag, 0, 1, "yes",
+      "whether a push carries the change or only announces it"},
+     &SpreadPolicy::PushContent},
+    {{"spread", "strategy", KeyType::Text, 1, 32, "tree",
+      "tree, gossip or direct"},
+     &SpreadPolicy::Strategy},
+}};
+
+template <typename T, size_t Size>
+T withDefaults(const std::array<FieldSpec<T>, Size> &Table) {
+  T Value;
+  for (const FieldSpec<T> &Field : Table) {
+    const Result<double> Base = parseValue(Field.Key, Field.Key.Default);
+    storeField(Field, Field.Key.Default, Base ? Base.value() : 0, Value);
+  }
+  return Value;
+}
+
+} // namespace
+
+std::span<const FieldSpec<Policy>> policyFields() { return PolicyTable; }
+
+std::span<const FieldSpec<SpreadPolicy>> spreadFields() { return SpreadTable; }
+
+Policy defaultPolicy() { return withDefaults(PolicyTable); }
+
+SpreadPolicy defaultSpreadPolicy() { return withDefaults(SpreadTable); }
+
+} // namespace bluebellbarrow
--- /dev/null
+++ b/src/tree/policy.h
@@ -0,0 +1,100 @@
+#ifndef BLUEBELLBARROW_TREE_POLICY_H
+#define BLUEBELLBARROW_TREE_POLICY_H
+
+#include "kernel/clock.h"
+#include "kernel/schema.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+
+namespace bluebellbarrow {
+
+/** How the calls of one route are handled; defaults are those of the schema. */
+struct Policy {
+  Duration Deadline{};
+  Duration SlowStart{};
+  Duration KeyMemory{};
+  Duration ProbePeriod{};
+  int64_t Retries = 0;
+  int64_t Slots = 0;
+  int64_t Queue = 0;
+  int64_t MaxBody = 0;
+  double RetryBudget = 0;
+  double MaxEjected = 0;
+  bool Idempotent = false;
+  std::string Balance;
+};
+
+/** How configuration is spread in one failure domain. */
+struct SpreadPolicy {
+  Duration DigestPeriod{};
+  Duration ReadBase{};
+  Duration ReadStep{};
+  Duration WatchWait{};
+  Duration AckLimit{};
+  int64_t DigestPeers = 0;
+  int64_t FanOut = 0;
+  int64_t Readers = 0;
+  int64_t MaxTransfers = 0;
+  bool PushContent = false;
+  std::string Strategy;
+};
+
+/** Binds a key of the schema to the member of \a T that holds its value. */
+template <typename T> struct FieldSpec {
+  KeySpec Key;
+  std::variant<Duration T::*, int64_t T::*, double T::*, bool T::*,
+               std::string T::*>
+      Member;
+};
+
+/** Returns the fields of a "policy" section. Thread safety: safe. */
+std::span<const FieldSpec<Policy>> policyFields();
+
+/** Returns the fields of a "spread" section. Thread safety: safe. */
+std::span<const FieldSpec<SpreadPolicy>> spreadFields();
+
+/** Returns a policy with every default. Thread safety: safe. */
+Policy defaultPolicy();
+
+/** Returns a spread policy with every default. Thread safety: safe. */
+SpreadPolicy defaultSpreadPolicy();
+
+/** Stores a value in the base unit of its type into \a Target. */
+template <typename T>
+void storeField(const FieldSpec<T> &Field, const std::string &Text, double Base,
+                T &Target) {
+  struct Store {
+    const std::string &Text;
+    double Base;
+    T &Target;
+
+    void operator()(Duration T::*Member) const {
+      this->Target.*Member = microseconds(static_cast<int64_t>(this->Base));
+    }
+
+    void operator()(int64_t T::*Member) const {
+      this->Target.*Member = static_cast<int64_t>(this->Base);
+    }
+
+    void operator()(double T::*Member) const {
+      this->Target.*Member = this->Base;
+    }
+
+    void operator()(bool T::*Member) const {
+      this->Target.*Member = this->Base != 0;
+    }
+
+    void operator()(std::string T::*Member) const {
+      this->Target.*Member = this->Text;
+    }
+  };
+
+  std::visit(Store{Text, Base, Target}, Field.Member);
+}
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_TREE_POLICY_H
--- /dev/null
+++ b/src/tree/settingstree.h
@@ -0,0 +1,101 @@
+#ifndef BLUEBELLBARROW_TREE_SETTINGSTREE_H
+#define BLUEBELLBARROW_TREE_SETTINGSTREE_H
+
+#include "branch.h"
+#include "policy.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** The text of each branch by its path. */
+using BranchTexts = std::map<std::string, std::string>;
+
+/** One effective value and the branch it comes from. */
+struct EffectiveValue {
+  std::string Key;
+  std::string Text;
+
+  /** Path of the branch, with the route's name where the route sets it. */
+  std::string Source;
+
+  /** Line in the branch's file; 0 for a default. */
+  int Line = 0;
+};
+
+/**
+ * A whole tree of settings that passed every check.
+ *
+ * Values are looked up from general to particular: mesh, place, service, the
+ * service in the place, route, the route in the place; the last one wins.
+ *
+ * Thread safety: immutable, safe.
+ */
+class SettingsTree {
+public:
+  /**
+   * Parses and checks a whole tree.
+   *
+   * Errors: every fault found in the branches, or between them: a branch
+   * without a parent, an unknown service, a cycle between services, two routes
+   * with one match.
+   */
+  static std::vector<Error> check(const BranchTexts &Texts);
+
+  /** Parses and checks a whole tree; the error is the first of check(). */
+  static Result<std::shared_ptr<const SettingsTree>>
+  parse(const BranchTexts &Texts);
+
+  const std::string &meshName() const;
+
+  const std::map<std::string, Branch> &branches() const {
+    return this->Branches;
+  }
+
+  /** Returns the names of all services, sorted. */
+  std::vector<ServiceName> services() const;
+
+  /** Returns the routes of \a Service. \pre the service exists. */
+  const std::vector<RouteBranch> &routes(const ServiceName &Service) const;
+
+  /** Returns the policy of a route, or of a service for an empty route. */
+  Policy policy(const FailureDomain &Place, const ServiceName &Service,
+                const RouteName &Route) const;
+
+  SpreadPolicy spreadPolicy(const FailureDomain &Place) const;
+
+  /** Returns each value of policy() and where it comes from. */
+  std::vector<EffectiveValue> explain(const FailureDomain &Place,
+                                      const ServiceName &Service,
+                                      const RouteName &Route) const;
+
+private:
+  struct Layer {
+    std::string Source;
+    const std::vector<Override> *Values;
+  };
+
+  const Branch *find(const std::string &Path) const;
+  std::vector<Layer> layers(const FailureDomain &Place,
+                            const ServiceName &Service,
+                            const RouteName &Route) const;
+  void checkParents(std::vector<Error> &Faults) const;
+  void checkRoutes(std::vector<Error> &Faults) const;
+  void checkCycles(std::vector<Error> &Faults) const;
+
+  std::map<std::string, Branch> Branches;
+};
+
+/**
+ * Reads every ".ini" file below \a Directory; the paths are relative to it
+ * and have no ending. Errors: the file that can't be read, or a file that is
+ * no branch.
+ */
+Result<BranchTexts> readBranchTexts(const std::string &Directory);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_TREE_SETTINGSTREE_H
