Cut chunked answers, late answers and closed connections at the HTTP client

Cause: the first tests of the client against a server that misbehaves showed two faults. A chunked answer that ends with the connection counted as whole, since the library completes it on the end of the stream; and the call after a timed-out one was queued on the connection about to be closed and died with it. A third was found by the test for whole chunked answers: a connection that the server had said it closes was used again.

Change: the end of the stream is told from the last chunk; a failed call closes its connection at once; "connection: close" is honoured.

A chunked answer without any body whose connection is closed at once may be taken for a cut one, which is the safe side.

--- a/src/bluebellbarrow/commandline.cpp
+++ b/src/bluebellbarrow/commandline.cpp
@@ -104,6 +104,13 @@
      [](const Arguments &) { return showAudit(FLAGS_admin, asJson()); }},
 }};
 
+bool takesFlag(const Command &Of, const std::string &Name) {
+  std::string Wanted = " ";
+  Wanted += Name;
+  Wanted += ' ';
+  return std::string_view(Of.Flags).find(Wanted) != std::string_view::npos;
+}
+
 void printUsage(std::ostream &Out) {
   Out << "usage: bluebellbarrow COMMAND [FLAGS]\n\n";
   for (const Command &Each : Commands)
@@ -119,7 +126,7 @@
   std::vector<gflags::CommandLineFlagInfo> Known;
   gflags::GetAllFlags(&Known);
   for (const gflags::CommandLineFlagInfo &Each : Known) {
-    if (std::string(Of.Flags).find(" " + Each.name + " ") == std::string::npos)
+    if (!takesFlag(Of, Each.name))
       continue;
     const std::string Shown =
         Each.name == "config_version" ? "version" : Each.name;
@@ -183,7 +190,7 @@
 
 int runCommand(const Command &Chosen, const Line &Given) {
   for (const auto &[Name, Value] : Given.Flags) {
-    if (std::string(Chosen.Flags).find(" " + Name + " ") == std::string::npos)
+    if (!takesFlag(Chosen, Name))
       return badUsage(Chosen, "unknown flag --" + Name);
     if (gflags::SetCommandLineOption(Name.c_str(), Value.c_str()).empty())
       return badUsage(Chosen, "bad value '" + Value + "' for --" + Name);
--- a/src/bluebellbarrow/fleetclient.cpp
+++ b/src/bluebellbarrow/fleetclient.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr uint32_t MaxFrameBytes = 16U * 1024 * 1024;
-constexpr size_t MaxQueuedBytes = 1024 * 1024;
+constexpr size_t MaxQueuedBytes = size_t{1024} * 1024;
 constexpr Duration SendPeriod = milliseconds(10);
 constexpr size_t SendsInPeriod = 40;
 constexpr Duration BusyRetry = milliseconds(200);
--- a/src/bluebellbarrow/fleetcommands.cpp
+++ b/src/bluebellbarrow/fleetcommands.cpp
@@ -24,7 +24,7 @@
 constexpr Duration AskLimit = seconds(1);
 constexpr Duration WatchPeriod = milliseconds(200);
 constexpr Duration AuditLimit = seconds(5);
-constexpr size_t MaxAuditBytes = 4U * 1024 * 1024;
+constexpr size_t MaxAuditBytes = size_t{4} * 1024 * 1024;
 constexpr size_t MaxNamesShown = 10;
 
 bool complete(const FleetOptions &Options) {
--- a/src/bluebellbarrow/treecommands.cpp
+++ b/src/bluebellbarrow/treecommands.cpp
@@ -20,7 +20,7 @@
 using Json = nlohmann::json;
 
 /** The platform holds values of up to 1 MB; a bundle stays below. */
-constexpr size_t MaxBundleBytes = 900U * 1024;
+constexpr size_t MaxBundleBytes = size_t{900} * 1024;
 
 constexpr int KeyWidth = 16;
 constexpr int ValueWidth = 16;
--- a/src/kernel/frametransport.cpp
+++ b/src/kernel/frametransport.cpp
@@ -91,7 +91,7 @@
   Info.local_protocol_name = "frames";
   if (!this->Options.Ip.empty())
     Info.iface = this->Options.Ip.str().c_str();
-  Info.opaque_user_data = reinterpret_cast<void *>(Id.value());
+  Info.opaque_user_data = &New;
   lws *Wsi = lws_client_connect_via_info(&Info);
   Stream *Current = this->find(Id);
   if (Current != nullptr && Wsi != nullptr)
@@ -132,9 +132,8 @@
   return Found == this->Streams.end() ? nullptr : Found->second.get();
 }
 
-FrameTransport::Stream *FrameTransport::streamOf(lws *Wsi) const {
-  const auto Value = reinterpret_cast<uint64_t>(lws_get_opaque_user_data(Wsi));
-  return Value == 0 ? nullptr : this->find(StreamId(Value));
+FrameTransport::Stream *FrameTransport::streamOf(lws *Wsi) {
+  return static_cast<Stream *>(lws_get_opaque_user_data(Wsi));
 }
 
 int FrameTransport::accept(lws *Wsi) {
@@ -144,7 +143,7 @@
   Stream &New = this->addStream(Address(Name.data()));
   New.Wsi = Wsi;
   New.Ready = true;
-  lws_set_opaque_user_data(Wsi, reinterpret_cast<void *>(New.Id.value()));
+  lws_set_opaque_user_data(Wsi, &New);
   this->Events.Accepted(New.Id, New.Peer);
   return 0;
 }
--- a/src/kernel/frametransport.h
+++ b/src/kernel/frametransport.h
@@ -97,7 +97,10 @@
   struct Stream;
 
   Stream *find(StreamId Id) const;
-  Stream *streamOf(lws *Wsi) const;
+
+  /** Returns the stream of a socket; null once it is detached. */
+  static Stream *streamOf(lws *Wsi);
+
   Stream &addStream(const Address &Peer);
   int accept(lws *Wsi);
   int receive(lws *Wsi, const char *Data, size_t Length);
--- a/src/kernel/httpclient.cpp
+++ b/src/kernel/httpclient.cpp
@@ -10,7 +10,9 @@
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <strings.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace bluebellbarrow {
 
@@ -25,6 +27,7 @@
   Slot(Task &Owner, const HttpClientOptions &Options, size_t Index);
 
   int handleEvent(lws *Wsi, int Reason, void *In, size_t Length);
+  int handleOwnEvent(lws *Wsi, int Reason, void *In, size_t Length);
   int addRequestHeaders(lws *Wsi, void *In, size_t Length);
   int writeBody(lws *Wsi);
   void readHead(lws *Wsi);
@@ -38,6 +41,10 @@
   std::string VhostName;
   lws_vhost *Vhost = nullptr;
   lws *Wsi = nullptr;
+
+  /** Connection for which the library calls now. */
+  lws *Serving = nullptr;
+
   Timer Deadline;
 
   bool Busy = false;
@@ -45,6 +52,17 @@
   bool Framed = false;
   bool Oversized = false;
 
+  /** The library is told to close the connection. */
+  bool Closing = false;
+
+  bool Chunked = false;
+
+  /** The server closes the connection after this answer. */
+  bool LastAnswer = false;
+
+  /** Nothing but the end of the stream was there to be read. */
+  bool AtEnd = false;
+
   /** Announced length of the answer's body; negative when there is none. */
   int64_t ExpectedBytes = -1;
 
@@ -70,6 +88,11 @@
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 }};
 
+bool atEndOfStream(lws *Wsi) {
+  char Byte = 0;
+  return recv(lws_get_socket_fd(Wsi), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 bool mayHaveBody(const HttpRequest &Request) {
   return Request.Method != "GET" && Request.Method != "DELETE";
 }
@@ -129,16 +152,19 @@
 void HttpClient::Slot::readHead(lws *Wsi) {
   this->Response.Status = static_cast<int>(lws_http_client_http_response(Wsi));
   this->Response.Headers = collectHeaders(Wsi, this->Options.CustomHeaders);
-  const bool Chunked =
+  this->Chunked =
       lws_hdr_total_length(Wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
   std::array<char, 32> Text{};
   const int Length = lws_hdr_copy(Wsi, Text.data(), Text.size(),
                                   WSI_TOKEN_HTTP_CONTENT_LENGTH);
   if (Length > 0)
     std::from_chars(Text.data(), Text.data() + Length, this->ExpectedBytes);
+  const int Close =
+      lws_hdr_copy(Wsi, Text.data(), Text.size(), WSI_TOKEN_CONNECTION);
+  this->LastAnswer = Close > 0 && strcasecmp(Text.data(), "close") == 0;
   const bool Bodiless =
       this->Response.Status == 204 || this->Response.Status == 304;
-  this->Framed = Chunked || this->ExpectedBytes >= 0 || Bodiless;
+  this->Framed = this->Chunked || this->ExpectedBytes >= 0 || Bodiless;
 }
 
 int HttpClient::Slot::append(const char *Data, size_t Length) {
@@ -146,6 +172,7 @@
       this->Response.Body.size() + Length > this->Options.MaxBodyBytes;
   if (this->Oversized)
     return -1;
+  this->AtEnd = false;
   this->Response.Body.append(Data, Length);
   return 0;
 }
@@ -155,12 +182,18 @@
     this->fail("answer has no length");
     return;
   }
+  // The library also completes a chunked answer when the connection closes.
+  if (this->Chunked && this->AtEnd) {
+    this->fail("answer was cut");
+    return;
+  }
   const auto Length = static_cast<int64_t>(this->Response.Body.size());
   if (this->ExpectedBytes >= 0 && Length != this->ExpectedBytes) {
     this->fail("answer was cut");
     return;
   }
   this->Wsi = nullptr;
+  this->Closing = this->LastAnswer;
   this->finish({.End = CallEnd::Answered,
                 .Response = std::move(this->Response),
                 .Cause = {}});
@@ -169,13 +202,19 @@
 void HttpClient::Slot::fail(const std::string &Why) {
   if (!this->Busy)
     return;
-  if (this->Wsi != nullptr) {
-    lws_set_timeout(this->Wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    this->Wsi = nullptr;
-  }
+  this->Closing = true;
+  lws *Used = this->Wsi;
+  this->Wsi = nullptr;
   this->finish({.End = this->Sent ? CallEnd::Broken : CallEnd::NotSent,
                 .Response = {},
                 .Cause = Why});
+  if (Used == nullptr)
+    return;
+  // At once, unless the library is within a call for this connection, or the
+  // next call would be queued on it.
+  const bool Inside = Used == this->Serving;
+  lws_set_timeout(Used, PENDING_TIMEOUT_USER_OK,
+                  Inside ? LWS_TO_KILL_ASYNC : LWS_TO_KILL_SYNC);
 }
 
 void HttpClient::Slot::finish(const CallResult &Result) {
@@ -190,6 +229,14 @@
                                   size_t Length) {
   if (!this->Busy || (this->Wsi != nullptr && From != this->Wsi))
     return 0;
+  lws *Outer = std::exchange(this->Serving, From);
+  const int Result = this->handleOwnEvent(From, Reason, In, Length);
+  this->Serving = Outer;
+  return this->Closing ? -1 : Result;
+}
+
+int HttpClient::Slot::handleOwnEvent(lws *From, int Reason, void *In,
+                                     size_t Length) {
   switch (Reason) {
   case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER: {
     const int On = 1;
@@ -206,6 +253,7 @@
     std::array<char, LWS_PRE + 16384> Buffer;
     char *Start = Buffer.data() + LWS_PRE;
     int Available = static_cast<int>(Buffer.size() - LWS_PRE);
+    this->AtEnd = atEndOfStream(From);
     return lws_http_client_read(From, &Start, &Available) < 0 ? -1 : 0;
   }
   case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
@@ -250,6 +298,8 @@
   Chosen.Busy = true;
   Chosen.Sent = false;
   Chosen.Framed = false;
+  Chosen.Chunked = false;
+  Chosen.Closing = false;
   Chosen.Oversized = false;
   Chosen.ExpectedBytes = -1;
   Chosen.Request = Request;
--- a/src/kernel/httpserver.cpp
+++ b/src/kernel/httpserver.cpp
@@ -28,7 +28,7 @@
 
 namespace {
 
-constexpr size_t MaxHeaderBytes = 16 * 1024;
+constexpr size_t MaxHeaderBytes = size_t{16} * 1024;
 
 struct MethodToken {
   lws_token_indexes Token;
--- a/src/kernel/ids.h
+++ b/src/kernel/ids.h
@@ -20,7 +20,7 @@
 
   bool empty() const { return this->Value.empty(); }
 
-  auto operator<=>(const StrongString &) const = default;
+  auto operator<=>(const StrongString &) const = default; // NOLINT
 
   /** Reads or writes the value with a cereal archive. */
   template <typename Archive> void serialize(Archive &Ar) { Ar(this->Value); }
@@ -38,7 +38,7 @@
 
   constexpr uint64_t value() const { return this->Value; }
 
-  auto operator<=>(const StrongNumber &) const = default;
+  auto operator<=>(const StrongNumber &) const = default; // NOLINT
 
   /** Reads or writes the value with a cereal archive. */
   template <typename Archive> void serialize(Archive &Ar) { Ar(this->Value); }
--- a/src/plugins/admission/keymemory.h
+++ b/src/plugins/admission/keymemory.h
@@ -20,7 +20,7 @@
   size_t MaxKeys = 20000;
 
   /** Bytes of remembered answers. */
-  size_t MaxBytes = 8U * 1024 * 1024;
+  size_t MaxBytes = size_t{8} * 1024 * 1024;
 };
 
 /** What to do with a request under an Idempotency-Key. */
--- a/src/plugins/admission/seenrequests.h
+++ b/src/plugins/admission/seenrequests.h
@@ -17,7 +17,7 @@
   Incarnation Life;
   RequestNumber Number;
 
-  auto operator<=>(const RequestKey &) const = default;
+  auto operator<=>(const RequestKey &) const = default; // NOLINT
 };
 
 /** What an upstream's node remembers of a request. */
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr size_t MaxRequestBytes = 8U * 1024 * 1024;
+constexpr size_t MaxRequestBytes = size_t{8} * 1024 * 1024;
 constexpr int MaxDepth = 64;
 constexpr int StatusNotRun = 503;
 constexpr int StatusUnknown = 502;
@@ -42,7 +42,7 @@
 } // namespace
 
 OriginCalls::OriginCalls(Task &Owner, const NodeSettings &Settings,
-                         PeerIdentity Self, UpstreamCalls &Local,
+                         const PeerIdentity &Self, UpstreamCalls &Local,
                          Metrics &Counters)
     : Owner(Owner), Settings(Settings), Self(Self), Local(Local),
       Counters(Counters), Routes(Self.Name, Self.Life.value()),
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -25,8 +25,9 @@
 class OriginCalls {
 public:
   /** \pre the arguments outlive the object. */
-  OriginCalls(Task &Owner, const NodeSettings &Settings, PeerIdentity Self,
-              UpstreamCalls &Local, Metrics &Counters);
+  OriginCalls(Task &Owner, const NodeSettings &Settings,
+              const PeerIdentity &Self, UpstreamCalls &Local,
+              Metrics &Counters);
 
   /** Returns false when the port for callers can't be listened on. */
   bool listening() const { return this->Callers.listening(); }
--- a/src/plugins/http/targetprobe.cpp
+++ b/src/plugins/http/targetprobe.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration ProbeLimit = seconds(1);
-constexpr size_t MaxHealthBytes = 64U * 1024;
+constexpr size_t MaxHealthBytes = size_t{64} * 1024;
 
 /** Failed probes in a row after which the target counts as not serving. */
 constexpr int FailureLimit = 3;
--- a/src/plugins/peer/peercodec.h
+++ b/src/plugins/peer/peercodec.h
@@ -11,7 +11,7 @@
 inline constexpr uint32_t MaxPeerFrameBytes = 10U * 1024 * 1024;
 
 /** Bytes that may wait on one stream. */
-inline constexpr size_t MaxPeerQueuedBytes = 32U * 1024 * 1024;
+inline constexpr size_t MaxPeerQueuedBytes = size_t{32} * 1024 * 1024;
 
 /** Returns \a Message as a frame. Thread safety: safe. */
 template <typename T> Frame peerFrame(PeerFrame Kind, const T &Message) {
--- a/src/plugins/platform/platformclient.cpp
+++ b/src/plugins/platform/platformclient.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr const char *RevisionHeader = "platform-revision";
-constexpr size_t MaxValueBytes = 2U * 1024 * 1024;
+constexpr size_t MaxValueBytes = size_t{2} * 1024 * 1024;
 constexpr size_t WatchSlots = 4;
 constexpr size_t PartSlots = 4;
 
--- a/src/plugins/spread/controllinks.cpp
+++ b/src/plugins/spread/controllinks.cpp
@@ -10,7 +10,7 @@
 /** Longest frame: a whole version of the largest tree. */
 constexpr uint32_t MaxFrameBytes = 16U * 1024 * 1024;
 
-constexpr size_t MaxQueuedBytes = 32U * 1024 * 1024;
+constexpr size_t MaxQueuedBytes = size_t{32} * 1024 * 1024;
 constexpr Duration IdleLimit = seconds(120);
 
 /** Bytes of a frame's length and kind. */
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -21,7 +21,7 @@
   /** First 64 bits of the version's digest. */
   uint64_t HashPrefix = 0;
 
-  auto operator<=>(const VersionTag &) const = default;
+  auto operator<=>(const VersionTag &) const = default; // NOLINT
 
   bool none() const { return this->Number.value() == 0; }
 
--- a/src/tree/catalog.h
+++ b/src/tree/catalog.h
@@ -39,7 +39,7 @@
   VersionNumber Number;
   Digest Hash;
 
-  auto operator<=>(const VersionId &) const = default;
+  auto operator<=>(const VersionId &) const = default; // NOLINT
 
   /** Returns true for the version that stands for "none". */
   bool none() const { return this->Number.value() == 0; }
@@ -58,7 +58,7 @@
   Digest Hash;
   uint64_t Size = 0;
 
-  auto operator<=>(const CatalogEntry &) const = default;
+  auto operator<=>(const CatalogEntry &) const = default; // NOLINT
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->Path, this->Hash, this->Size);
@@ -70,7 +70,7 @@
   Digest Hash;
   uint64_t Size = 0;
 
-  auto operator<=>(const CatalogBundle &) const = default;
+  auto operator<=>(const CatalogBundle &) const = default; // NOLINT
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->Hash, this->Size);
--- a/src/tree/vmlist.h
+++ b/src/tree/vmlist.h
@@ -18,7 +18,7 @@
   /** The platform is about to take it away. */
   bool Leaving = false;
 
-  auto operator<=>(const Vm &) const = default;
+  auto operator<=>(const Vm &) const = default; // NOLINT
 };
 
 /** The platform's list of VMs. */
--- /dev/null
+++ b/tests/kernel/frame_test.cpp
@@ -0,0 +1,53 @@
+#include "kernel/framereader.h"
+#include "kernel/wirearchive.h"
+
+#include <criterion/criterion.h>
+
+using namespace bluebellbarrow; // NOLINT: test
+
+Test(framereader, cuts_frames_whatever_the_chunks) {
+  const std::string Bytes = frameBytes({.Kind = 1, .Body = "one"}) +
+                            frameBytes({.Kind = 2, .Body = ""}) +
+                            frameBytes({.Kind = 3, .Body = "three"});
+  for (size_t Chunk = 1; Chunk <= Bytes.size(); ++Chunk) {
+    FrameReader Reader(100);
+    std::string Seen;
+    for (size_t Start = 0; Start < Bytes.size(); Start += Chunk) {
+      Reader.feed(std::string_view(Bytes).substr(Start, Chunk));
+      while (const auto Next = Reader.next())
+        Seen += std::to_string(Next->Kind) + Next->Body + ";";
+    }
+    cr_expect_str_eq(Seen.c_str(), "1one;2;3three;", "chunk %zu", Chunk);
+    cr_expect_eq(Reader.pending(), 0);
+  }
+}
+
+Test(framereader, breaks_at_a_length_outside_the_limit) {
+  for (const std::string &Length :
+       {std::string("\0\0\0\0", 4), std::string("\xff\xff\xff\xff", 4),
+        std::string("\x65\0\0\0", 4)}) {
+    FrameReader Reader(100);
+    Reader.feed(Length);
+    cr_expect_not(Reader.next().has_value());
+    cr_expect(Reader.broken());
+  }
+}
+
+Test(wirearchive, checks_sizes_before_it_allocates) {
+  std::string Text;
+  cr_expect_not(decode(std::string("\xff\xff\xff\xff", 4), Text));
+  std::vector<std::string> List;
+  cr_expect_not(decode(std::string("\xff\xff\xff\x7f"
+                                   "a",
+                                   5),
+                       List));
+  uint64_t Number = 0;
+  cr_expect_not(decode(std::string("\1\2\3", 3), Number));
+}
+
+Test(wirearchive, refuses_bytes_after_the_value) {
+  std::string Text;
+  cr_expect(decode(encode(std::string("abc")), Text));
+  cr_expect_str_eq(Text.c_str(), "abc");
+  cr_expect_not(decode(encode(std::string("abc")) + "x", Text));
+}
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -36,7 +36,7 @@
 
 namespace {
 
-constexpr size_t MaxBodyBytes = 4U * 1024 * 1024;
+constexpr size_t MaxBodyBytes = size_t{4} * 1024 * 1024;
 constexpr size_t HistogramBins = 20000;
 constexpr double ShortestMicros = 10;
 constexpr double LongestMicros = 1e8;
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -27,7 +27,7 @@
 
 namespace {
 
-constexpr size_t MaxValueBytes = 1024 * 1024;
+constexpr size_t MaxValueBytes = size_t{1024} * 1024;
 constexpr Duration TickPeriod = milliseconds(2);
 
 /** Name under which the VM list is kept among the values. */
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -33,7 +33,7 @@
 
 namespace {
 
-constexpr size_t MaxBodyBytes = 1024 * 1024;
+constexpr size_t MaxBodyBytes = size_t{1024} * 1024;
 
 /** Behaviour that can be switched on. */
 struct Knobs {
--- /dev/null
+++ b/tests/support/rawserver.cpp
@@ -0,0 +1,72 @@
+#include "rawserver.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <chrono>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace bluebellbarrow {
+
+RawServer::RawServer(const std::string &Address, Script OnRequest)
+    : OnRequest(std::move(OnRequest)),
+      Listener(socket(AF_INET, SOCK_STREAM, 0)) {
+  sockaddr_in Local{};
+  Local.sin_family = AF_INET;
+  inet_pton(AF_INET, Address.c_str(), &Local.sin_addr);
+  bind(this->Listener, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
+  listen(this->Listener, 16);
+  socklen_t Length = sizeof(Local);
+  getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Local), &Length);
+  this->Port = ntohs(Local.sin_port);
+  this->Thread = std::thread([this] { this->serve(); });
+}
+
+RawServer::~RawServer() {
+  this->Stopping = true;
+  this->Thread.join();
+  close(this->Listener);
+}
+
+void RawServer::serve() {
+  std::vector<std::thread> Served;
+  while (!this->Stopping) {
+    pollfd Poll{.fd = this->Listener, .events = POLLIN, .revents = 0};
+    if (poll(&Poll, 1, 20) <= 0)
+      continue;
+    const int Socket = accept(this->Listener, nullptr, nullptr);
+    this->Connections += 1;
+    Served.emplace_back([this, Socket] { this->serveConnection(Socket); });
+  }
+  for (std::thread &Each : Served)
+    Each.join();
+}
+
+void RawServer::serveConnection(int Socket) {
+  std::string Received;
+  while (!this->Stopping) {
+    pollfd Poll{.fd = Socket, .events = POLLIN, .revents = 0};
+    if (poll(&Poll, 1, 20) <= 0)
+      continue;
+    std::array<char, 4096> Buffer{};
+    const ssize_t Length = recv(Socket, Buffer.data(), Buffer.size(), 0);
+    if (Length <= 0)
+      break;
+    Received.append(Buffer.data(), static_cast<size_t>(Length));
+    const size_t End = Received.find("\r\n\r\n");
+    if (End == std::string::npos)
+      continue;
+    const Answer Next = this->OnRequest(++this->Requests, Received);
+    Received.clear();
+    std::this_thread::sleep_for(std::chrono::milliseconds(Next.DelayMs));
+    send(Socket, Next.Bytes.data(), Next.Bytes.size(), MSG_NOSIGNAL);
+    if (Next.Close)
+      break;
+  }
+  close(Socket);
+}
+
+} // namespace bluebellbarrow
