--- a/src/plugins/spread/readschedule.h
+++ b/src/plugins/spread/readschedule.h
@@ -46,6 +46,9 @@
   /** Takes in what a digest of the same failure domain says. */
   void onHeard(const ReadNews &News, TimePoint Now);
 
+  /** Counts the waits for the reads of others from \a Now on. */
+  void restart(TimePoint Now) { this->Heard.Try = Now; }
+
   /** A read ended well, or a watch is known to be open. */
   void onGoodRead(TimePoint Now);
 
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -195,6 +195,7 @@
     this->askPeers(AskedInside, AskedOutside, Now);
     return;
   }
+  this->Schedule.restart(Now);
   this->audit(AuditKind::Settled, ItemKind::Config,
               this->ledger(ItemKind::Config).inForce(), "self",
               Cause == SettledBy::Peers     ? "peers told the newest version"
--- /dev/null
+++ b/tests/plugins/spread_replay_test.cpp
@@ -0,0 +1,38 @@
+#include "golden.h"
+#include "kernel/inifile.h"
+#include "spreadworld.h"
+
+#include <criterion/criterion.h>
+
+using namespace bluebellbarrow; // NOLINT: test
+
+namespace {
+
+/** Replays a trace; its expectations must hold and its session be golden. */
+void replay(const std::string &Name) {
+  const Result<std::string> Trace =
+      readFile(testsDirectory() + "/traces/" + Name + ".trace");
+  cr_assert(static_cast<bool>(Trace), "no trace %s", Name.c_str());
+  SpreadWorld World;
+  const std::string Session = World.replay(Trace.value());
+  for (const std::string &Each : World.failures())
+    cr_expect(false, "%s: %s", Name.c_str(), Each.c_str());
+  expectGolden(Name + ".txt", Session);
+}
+
+} // namespace
+
+#define REPLAY(Name)                                                           \
+  Test(spread_replay, Name) { replay("spread-" #Name); }
+
+REPLAY(stale_platform)
+REPLAY(bad_then_good)
+REPLAY(conflict)
+REPLAY(late_branches)
+REPLAY(readers_killed)
+REPLAY(partition_of_an_hour)
+REPLAY(frozen_nodes)
+REPLAY(whole_fleet_restarts)
+REPLAY(alternating_replicas)
+REPLAY(leaving_node)
+REPLAY(two_faults_at_once)
