--- a/src/kernel/frametransport.cpp
+++ b/src/kernel/frametransport.cpp
@@ -107,12 +107,24 @@
     return false;
   if (Target->Queue.size() + Value.Body.size() > this->Options.MaxQueuedBytes)
     return false;
-  Target->Queue += frameBytes(Value);
-  if (Target->Ready)
+  const std::string Bytes = frameBytes(Value);
+  const size_t Sent = this->sendNow(*Target, Bytes);
+  Target->Queue.append(Bytes, Sent);
+  if (Target->Ready && !Target->Queue.empty())
     lws_callback_on_writable(Target->Wsi);
   return true;
 }
 
+size_t FrameTransport::sendNow(const Stream &Target, const std::string &Bytes) {
+  if (!Target.Ready || !Target.Queue.empty())
+    return 0;
+  const ssize_t Sent = ::send(lws_get_socket_fd(Target.Wsi), Bytes.data(),
+                              Bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  const size_t Count = Sent > 0 ? static_cast<size_t>(Sent) : 0;
+  this->BytesSent += Count;
+  return Count;
+}
+
 void FrameTransport::close(StreamId Id) {
   Stream *Target = this->find(Id);
   if (Target == nullptr)
--- a/src/kernel/frametransport.h
+++ b/src/kernel/frametransport.h
@@ -102,6 +102,10 @@
   static Stream *streamOf(lws *Wsi);
 
   Stream &addStream(const Address &Peer);
+
+  /** Hands bytes to the system at once, if none wait; returns how many. */
+  size_t sendNow(const Stream &Target, const std::string &Bytes);
+
   int accept(lws *Wsi);
   int receive(lws *Wsi, const char *Data, size_t Length);
   int write(lws *Wsi);
--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -34,7 +34,7 @@
              .Name = Context.Settings.Name,
              .Life = Context.Life},
         Target(Owner, Context.Settings, Context.Counters,
-               [this] { this->Tick.start(BusyTickPeriod); }),
+               [this] { this->hastenTick(); }),
         Origin(Owner, Context.Settings, Self, Target, Context.Counters),
         Peers(Owner, Context.Settings.Ip, Context.Settings.PeerPort, Self,
               this->peerEvents()),
@@ -150,7 +150,19 @@
     if (this->Stopping && !this->Stopped)
       this->pollStop(Now);
     const bool Idle = this->Origin.open() + this->Target.open() == 0;
-    this->Tick.start(Idle && !this->Stopping ? IdleTickPeriod : BusyTickPeriod);
+    const Duration Period =
+        Idle && !this->Stopping ? IdleTickPeriod : BusyTickPeriod;
+    this->NextTick = Now + Period;
+    this->Tick.start(Period);
+  }
+
+  /** Requests are open: the next look must not be an idle period away. */
+  void hastenTick() {
+    const TimePoint Soon = Task::now() + BusyTickPeriod;
+    if (this->NextTick <= Soon)
+      return;
+    this->NextTick = Soon;
+    this->Tick.start(BusyTickPeriod);
   }
 
   void pollStop(TimePoint Now) {
@@ -174,6 +186,7 @@
   TargetProbe Probe;
   PauseDetector Pauses;
   Timer Tick;
+  TimePoint NextTick;
   MemberState TargetState = MemberState::Starting;
   bool HasSnapshot = false;
   bool Stopping = false;
