--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -106,8 +106,13 @@
     this->Target.setSnapshot(New);
     this->HasSnapshot = true;
     const ServiceEntry *Own = New->findService(this->Context.Settings.Service);
-    if (Own != nullptr)
+    this->ListedLeaving = false;
+    if (Own != nullptr) {
       this->Probe.setPeriod(Own->Effective.ProbePeriod);
+      for (const Vm &Each : Own->Upstreams)
+        if (Each.Name == this->Context.Settings.Name)
+          this->ListedLeaving = Each.Leaving;
+    }
     this->updateState();
   }
 
@@ -118,7 +123,7 @@
 
   void updateState() {
     MemberState State = this->TargetState;
-    if (this->Stopping)
+    if (this->Stopping || this->ListedLeaving)
       State = MemberState::Draining;
     else if (!this->HasSnapshot)
       State = MemberState::Starting;
@@ -189,6 +194,10 @@
   TimePoint NextTick;
   MemberState TargetState = MemberState::Starting;
   bool HasSnapshot = false;
+
+  /** The platform is about to take this VM away. */
+  bool ListedLeaving = false;
+
   bool Stopping = false;
   bool Stopped = false;
   TimePoint StopBegan;
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -14,6 +14,7 @@
 
 constexpr size_t MaxRequestBytes = size_t{8} * 1024 * 1024;
 constexpr int MaxDepth = 64;
+constexpr Duration MetricsPeriod = seconds(1);
 constexpr int StatusNotRun = 503;
 constexpr int StatusUnknown = 502;
 constexpr int StatusLate = 504;
@@ -307,8 +308,16 @@
       this->carryOut(Id, Found->second.Decisions->onTime(Now));
   }
   this->Peers.poll(Now);
+  if (Now >= this->NextMetrics)
+    this->publishMetrics(Now);
+}
+
+void OriginCalls::publishMetrics(TimePoint Now) {
+  this->NextMetrics = Now + MetricsPeriod;
   this->Counters.set(Metric::Ejected, "",
                      static_cast<double>(this->Routes.ejectedCount(Now)));
+  for (const auto &[Service, Budget] : this->Budgets)
+    this->Counters.set(Metric::RetryBudget, Service.str(), Budget.balance());
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -81,6 +81,7 @@
   Call *findAttempt(RequestNumber Number, CallId &Id);
   void refuse(ExchangeId Caller, int Status, const std::string &Reason);
   void answer(ExchangeId Caller, HttpResponse Response, const char *Outcome);
+  void publishMetrics(TimePoint Now);
   RetryBudget &budgetOf(const ServiceEntry &Service, TimePoint Now);
 
   Task &Owner;
@@ -99,6 +100,7 @@
   uint64_t LastNumber = 0;
   CallId LastCall = 0;
   TimePoint LastRequest;
+  TimePoint NextMetrics;
   bool Leaving = false;
 };
 
--- a/src/plugins/spread/controllinks.h
+++ b/src/plugins/spread/controllinks.h
@@ -72,7 +72,7 @@
   std::map<StreamId, Link> Links;
   std::map<Address, StreamId> ByPeer;
 
-  /** Ports of observers that asked, by address. */
+  /** Sender of the datagram that is being handled. */
   DatagramPeer Observer;
 };
 
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -295,9 +295,19 @@
       this->Actions.emplace_back(SendControl{Child, WordsMessage{Words}});
 }
 
-bool Spread::mergeWord(const MemberWord &Word) {
-  if (Word.Name.empty() || !this->Members.merge(Word))
+bool Spread::mergeWord(const MemberWord &Word, const Address &From) {
+  if (Word.Name.empty())
     return false;
+  const MemberWord *Known = this->Members.find(Word.Name);
+  const bool Changes = Known == nullptr || Known->State != Word.State;
+  if (!this->Members.merge(Word))
+    return false;
+  const bool Leaves =
+      Word.State == MemberState::Draining || Word.State == MemberState::Gone;
+  if (Changes && Leaves)
+    this->audit(AuditKind::StateChanged, ItemKind::VmList, VersionId(),
+                From.str(),
+                Word.Name.str() + " " + memberStateName(Word.State));
   this->Actions.emplace_back(WordChanged{Word});
   return true;
 }
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -152,7 +152,7 @@
   void push(const Address &To, ItemKind Kind, bool WithContent, TimePoint Now);
   void adopt(const std::vector<OpenPush> &Lost, TimePoint Now);
   void forwardWords(const std::vector<MemberWord> &Words, const Address &From);
-  bool mergeWord(const MemberWord &Word);
+  bool mergeWord(const MemberWord &Word, const Address &From);
 
   void pollBoot(TimePoint Now);
   void pollReads(TimePoint Now);
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -105,7 +105,7 @@
 void Spread::onWords(const Address &From, const WordsMessage &Message) {
   std::vector<MemberWord> News;
   for (const MemberWord &Word : Message.Words)
-    if (this->mergeWord(Word))
+    if (this->mergeWord(Word, From))
       News.push_back(Word);
   if (!News.empty())
     this->forwardWords(News, From);
@@ -121,9 +121,9 @@
     return;
 
   this->HoldUntil = std::min(this->HoldUntil, Now);
-  this->mergeWord(Message.Sender);
+  this->mergeWord(Message.Sender, From);
   for (const MemberWord &Word : Message.News)
-    this->mergeWord(Word);
+    this->mergeWord(Word, From);
   if (Message.Domain == this->Options.Domain)
     this->Schedule.onHeard(Message.Read, Now);
   this->compareVersions(From, Message, Now);
--- a/tests/process/mesh_test.py
+++ b/tests/process/mesh_test.py
@@ -141,6 +141,20 @@
         assert summary["good"] > 0 and summary["wrong"] == 0, summary
 
 
+def test_vm_listed_as_leaving_gets_no_new_work():
+    with shirakaba(30) as fleet:
+        target = fleet.vms[1]
+        caller = load(fleet, fleet.vms, 6)
+        time.sleep(1)
+        target.state = "leaving"
+        fleet.publish_vms()
+        time.sleep(DRAIN_LIMIT)
+        before = fleet.runs(target)["count"]
+        summary = finish(caller)
+        assert fleet.runs(target)["count"] == before
+        assert summary["good"] == summary["sent"], summary
+
+
 def test_restart_against_a_stale_platform():
     with shirakaba(25) as fleet:
         fleet.platform_knobs(capture=1)
