Process tests that redden when their guard is taken out

Cause: with the guards taken out one by one, two process tests stayed green. Change and figures: - killed_node_runs_nothing_twice: callers sat beside seating targets, which took most requests, so hardly any was under way to the killed node. They sit beside roster now. With a broken stream reported as "not sent": red, two of the requests ran twice. With the guard: green, twice. - draining_target_gets_no_new_work: routers already avoid a draining target, so the gate itself was not needed. One node with waiting callers now sleeps through the news and acts on its old view afterwards. Without the gate: red. With it: green, twice.

--- a/tests/process/mesh_test.py
+++ b/tests/process/mesh_test.py
@@ -80,12 +80,12 @@
 
 
 def test_killed_node_runs_nothing_twice():
-    with shirakaba(21, service_ms=30) as fleet:
+    with shirakaba(21, service_ms=100) as fleet:
         log = fleet.directory / "posts.log"
-        victims = fleet.vms[1:3]
-        caller = load(fleet, [fleet.vms[0], fleet.vms[5]], 4, log)
-        for vm in victims:
-            time.sleep(1)
+        # The nodes of roster have no seating target: every POST goes on.
+        caller = load(fleet, fleet.vms[5:], 4, log, rate=200)
+        for vm in fleet.vms[:4]:
+            time.sleep(0.7)
             vm.node.kill()
         summary = finish(caller)
         assert summary["wrong"] == 0 and summary["good"] > 0, summary
@@ -127,18 +127,20 @@
 
 def test_draining_target_gets_no_new_work():
     with shirakaba(24) as fleet:
-        frozen, target = fleet.vms[3], fleet.vms[1]
-        frozen.node.send_signal(signal.SIGSTOP)
-        caller = load(fleet, [vm for vm in fleet.vms if vm is not frozen], 8)
+        # One node sleeps through the news, with callers that wait for it.
+        frozen, target = fleet.vms[6], fleet.vms[1]
+        others = [vm for vm in fleet.vms if vm is not frozen]
+        caller = load(fleet, others, 8)
+        held = load(fleet, [frozen], 8, rate=100)
         time.sleep(1)
+        frozen.node.send_signal(signal.SIGSTOP)
         fleet.target_knobs(target, draining=1)
         time.sleep(DRAIN_LIMIT)
         before = fleet.runs(target)["after_drain"]
-        summary = finish(caller)
         frozen.node.send_signal(signal.SIGCONT)
-        time.sleep(0.5)
+        for summary in (finish(caller), finish(held)):
+            assert summary["good"] > 0 and summary["wrong"] == 0, summary
         assert fleet.runs(target)["after_drain"] == before
-        assert summary["good"] > 0 and summary["wrong"] == 0, summary
 
 
 def test_vm_listed_as_leaving_gets_no_new_work():
