Spread: the takeover of reads does not depend on the period of digests

With the Agencia's profile a dead reader was replaced after 5 s, more than the 3 s that a change may take. Ruled out: fewer followers to tell (the bytes are those of readers only).

Change: readers tell the ranks that would follow every 0.5 s, whatever the period; a push to a lost first node goes on to its children as an offer.

--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -64,6 +64,7 @@
   this->pollBoot(Now);
   this->pollReads(Now);
   this->pollDigests(Now);
+  this->pollReadNews(Now);
   this->adopt(this->Pushes.takeOverdue(Now), Now);
   if (this->holding(Now))
     return;
@@ -257,11 +258,12 @@
   const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
   for (const OpenPush &Each : Lost) {
     const size_t Rank = this->Nodes.rankOf(Each.Peer);
-    if (Rank >= this->Nodes.domainMembers().size() ||
-        Rank <= this->Nodes.rank())
+    if (Rank >= this->Nodes.domainMembers().size())
       continue;
+    // Nodes under a lost root have often got the version from elsewhere.
+    const bool Below = Rank > this->Nodes.rank();
     for (const Address &Child : this->Nodes.children(Rank, FanOut))
-      this->push(Child, Each.Kind, this->Tuning.PushContent, Now);
+      this->push(Child, Each.Kind, Below && this->Tuning.PushContent, Now);
   }
 }
 
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -159,6 +159,7 @@
   void delayRead(Watch &Read, TimePoint Now);
   void startRead(ItemKind Kind, Duration Wait, TimePoint Now);
   void pollDigests(TimePoint Now);
+  void pollReadNews(TimePoint Now);
   void askPeers(size_t Inside, size_t Outside, TimePoint Now);
   void compareVersions(const Address &From, const DigestMessage &Message,
                        TimePoint Now);
@@ -186,6 +187,7 @@
   SpreadActions Actions;
   TimePoint Started;
   TimePoint NextDigest;
+  TimePoint NextReadNews;
   TimePoint NextAsk;
   TimePoint HoldUntil;
   TimePoint TransferWindow;
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -19,6 +19,9 @@
 constexpr Duration ReadGrace = seconds(2);
 constexpr Duration TransferWindowLength = milliseconds(250);
 constexpr uint32_t BusyRetryMs = 300;
+/** Time between two digests from a reader to the ranks that would follow. */
+constexpr Duration ReadNewsPeriod = milliseconds(500);
+
 constexpr size_t AskedInside = 6;
 constexpr size_t AskedOutside = 6;
 constexpr size_t MaxNewsInDigest = 4;
@@ -246,13 +249,19 @@
     if (Peer != nullptr)
       this->sendDigest(Peer->Ip, DigestPurpose::Round, Now);
   }
-  const auto Readers = static_cast<size_t>(this->Tuning.Readers);
+}
+
+void Spread::pollReadNews(TimePoint Now) {
   const bool Reads = this->Tuning.Strategy != "direct" &&
                      this->Schedule.news(Now).Rank == this->Schedule.rank();
+  if (!Reads || Now < this->NextReadNews)
+    return;
+  this->NextReadNews = Now + ReadNewsPeriod;
+  const size_t Told =
+      static_cast<size_t>(this->Tuning.Readers) + ReadSchedule::Successors;
   const auto &Members = this->Nodes.domainMembers();
-  for (size_t Rank = 0; Reads && Rank < Readers + ReadSchedule::Successors;
-       ++Rank)
-    if (Rank < Members.size() && Rank != this->Nodes.rank())
+  for (size_t Rank = 0; Rank < std::min(Told, Members.size()); ++Rank)
+    if (Rank != this->Nodes.rank())
       this->sendDigest(Members[Rank].Ip, DigestPurpose::Round, Now);
 }
 
