Followers of readers wait by the rate of digests; announcements have their name

Cause: bench/fleet at 250 nodes with the profile for bytes still showed 34 requests a change in place of 9: news of a read comes by half of the digests of one peer only, which takes longer than eight periods. Ruled out: the followers that readers tell directly (all stood aside). Change: the wait is the time of 16 digests of a node. What a node says of its own state is called an announcement throughout.

--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,186 @@
+"""What bench/fleet, bench/requests and bench/state measure with."""
+
+import pathlib
+import statistics
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] /
+                       "tests/standins"))
+
+from fleet import *  # pylint: disable=wildcard-import,wrong-import-position
+
+PROFILES = {
+    "time": {"digest-period": "500 ms", "digest-peers": 2, "fan-out": 4,
+             "readers": 2, "push-content": "yes"},
+    "bytes": {"digest-period": "2 s", "digest-peers": 1, "fan-out": 3,
+              "readers": 1, "push-content": "yes"},
+    "direct": {"strategy": "direct", "digest-peers": 0},
+    "gossip": {"strategy": "gossip", "digest-period": "500 ms",
+               "digest-peers": 2, "readers": 2},
+    "gossip 2 s": {"strategy": "gossip", "digest-period": "2 s",
+                   "digest-peers": 1, "readers": 1},
+}
+
+CURVE = [{**PROFILES["time"], "digest-period": period, "digest-peers": peers,
+          "push-content": push}
+         for period, peers, push in (
+             ("250 ms", 2, "yes"), ("500 ms", 2, "yes"), ("500 ms", 2, "no"),
+             ("1 s", 1, "yes"), ("2 s", 1, "yes"), ("2 s", 1, "no"),
+             ("5 s", 1, "yes"))]
+
+COLUMNS = ("nodes", "domains", "services", "profile", "p50 ms", "p99 ms",
+           "all ms", "idle B/s", "B/change", "rest req/s", "req/change",
+           "ctl cpu %", "all cpu %", "rss MB")
+
+
+def write_tree(directory, mesh, services, profile, serial=0):
+    """Writes a tree with many services, each with two routes."""
+    (directory / "service").mkdir(parents=True, exist_ok=True)
+    lines = [f"{key} = {value}" for key, value in profile.items()]
+    (directory / "mesh.ini").write_text(
+        f"[mesh]\nname = {mesh}\n[spread]\n" + "\n".join(lines) + "\n")
+    for number in range(services):
+        about = f"change {serial}" if number == serial % services else "x"
+        (directory / "service" / f"s{number}.ini").write_text(
+            f"[service]\nabout = {about}\n\n[policy]\ndeadline = 1 s\n\n"
+            f"[route read]\nmatch = GET /s{number}/read\nidempotent = yes\n\n"
+            f"[route write]\nmatch = POST /s{number}/write\n")
+
+
+def thread_seconds(pid, only=None):
+    """Returns the processor time of a process, or of its named threads."""
+    ticks = 0
+    for task in pathlib.Path(f"/proc/{pid}/task").iterdir():
+        text = (task / "stat").read_text()
+        name = text[text.index("(") + 1:text.rindex(")")]
+        fields = text[text.rindex(")") + 2:].split()
+        if only is None or name == only:
+            ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(pid):
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(text.split("VmRSS:")[1].split()[0]) / 1024
+
+
+class Run:
+    """One fleet of a size, a number of domains, a tree and a profile."""
+
+    def __init__(self, net, nodes, domains, services, profile):
+        self.fleet = Fleet("bench", net)
+        self.domains, self.services, self.profile = domains, services, profile
+        self.tree = self.fleet.directory / "tree"
+        self.version = 1
+        self.fleet.start_platform()
+        for number in range(nodes):
+            self.fleet.vms.append(Vm(
+                f"n{number}", f"127.{net}.{number // 250}.{number % 250 + 1}",
+                f"d{number % domains}", f"s{number % services}"))
+        self.fleet.publish_vms()
+        write_tree(self.tree, "bench", services, profile)
+        self.fleet.publish(self.tree, 1)
+        self.fleet.settings = {"log": {"level": "warning"}}
+        started = time.monotonic()
+        for vm in self.fleet.vms:
+            self.fleet.start_node(vm)
+        assert self.fleet.wait_version(1, 60) is not None
+        self.start_seconds = time.monotonic() - started
+
+    def bytes_sent(self):
+        """Returns control bytes sent by all nodes, by cause."""
+        causes = {}
+        for vm in self.fleet.live():
+            for key, value in self.fleet.metrics(vm).items():
+                if key.startswith("bluebellbarrow_control_sent"):
+                    cause = key.split('"')[1]
+                    causes[cause] = causes.get(cause, 0) + value
+                if key.startswith("bluebellbarrow_control_received") and \
+                        '"platform"' in key:
+                    causes["platform"] = causes.get("platform", 0) + value
+        return causes
+
+    def change(self):
+        """Publishes a change; returns each node's delay in milliseconds."""
+        self.version += 1
+        write_tree(self.tree, "bench", self.services, self.profile,
+                   self.version)
+        packed = self.fleet.pack(self.tree, self.version, self.version - 1)
+        accepted = time.time()
+        self.fleet.publish_packed(packed)
+        time.sleep(1)
+        assert self.fleet.wait_version(self.version, 60) is not None
+        return [self.fleet.status(vm)["applied_us"] / 1000 - accepted * 1000
+                for vm in self.fleet.live()]
+
+    def measure(self, name, rest=20, changes=3):
+        """Returns one row of the table."""
+        fleet, count = self.fleet, len(self.fleet.vms)
+        time.sleep(3)
+        before, reads = self.bytes_sent(), fleet.counts()["requests"]
+        control = sum(thread_seconds(vm.node.pid, "control")
+                      for vm in fleet.live())
+        total = sum(thread_seconds(vm.node.pid) for vm in fleet.live())
+        start = time.monotonic()
+        time.sleep(rest)
+        took = time.monotonic() - start
+        control = (sum(thread_seconds(vm.node.pid, "control")
+                       for vm in fleet.live()) - control) / took / count
+        total = (sum(thread_seconds(vm.node.pid)
+                     for vm in fleet.live()) - total) / took / count
+        idle_reads = (fleet.counts()["requests"] - reads) / took
+        after = self.bytes_sent()
+        idle = (sum(after.values()) - sum(before.values())) / took / count
+
+        delays, reads = [], fleet.counts()["requests"]
+        start = time.monotonic()
+        for _ in range(changes):
+            delays += self.change()
+        took = time.monotonic() - start
+        per_change = (fleet.counts()["requests"] - reads -
+                      idle_reads * took) / changes
+        spent = self.bytes_sent()
+        caused = {cause: (spent[cause] - after.get(cause, 0)) / changes / count
+                  for cause in spent if cause != "digest"}
+        delays.sort()
+        rss = statistics.mean(resident_mb(vm.node.pid) for vm in fleet.live())
+        row = (count, self.domains, self.services, name,
+               f"{delays[len(delays) // 2]:.0f}",
+               f"{delays[int(len(delays) * 0.99)]:.0f}", f"{delays[-1]:.0f}",
+               f"{idle:.0f}", f"{sum(caused.values()):.0f}",
+               f"{idle_reads:.1f}", f"{per_change:.1f}",
+               f"{control * 100:.2f}", f"{total * 100:.2f}", f"{rss:.1f}")
+        print("| " + " | ".join(str(cell) for cell in row) + " |", flush=True)
+        return row
+
+    def outage(self, seconds=15):
+        """Returns requests per second at a platform that is down."""
+        self.fleet.platform_knobs(outage=1)
+        time.sleep(2)
+        before = self.fleet.counts()["requests"]
+        time.sleep(seconds)
+        rate = (self.fleet.counts()["requests"] - before) / seconds
+        self.fleet.platform_knobs(outage=0)
+        return rate
+
+    def herd(self, share=1.0, limit=2000):
+        """Kills a share of the nodes at once and starts them again."""
+        fleet = self.fleet
+        fleet.platform_knobs(limit=limit)
+        victims = fleet.vms[:int(len(fleet.vms) * share)]
+        for vm in victims:
+            vm.node.kill()
+        for vm in victims:
+            vm.node.wait()
+        before, start = fleet.counts(), time.monotonic()
+        for vm in victims:
+            fleet.start_node(vm)
+        started = time.monotonic() - start
+        took = fleet.wait_version(self.version, 60)
+        after = fleet.counts()
+        fleet.platform_knobs(limit=0)
+        return (f"{len(victims)} of {len(fleet.vms)} killed and started "
+                f"(which took {started:.1f} s): in force "
+                f"{'never' if took is None else f'{took:.1f} s'} later, "
+                f"{after['requests'] - before['requests']} requests, "
+                f"{after['refused'] - before['refused']} refused")
--- a/src/bluebellbarrow/nodecommand.cpp
+++ b/src/bluebellbarrow/nodecommand.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/** Time for the last word of a node to leave the process. */
+/** Time for the last announcement of a node to leave the process. */
 constexpr Duration LastWordTime = milliseconds(100);
 
 constexpr unsigned RandomBits = 10;
--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -52,9 +52,10 @@
                             [this](const SnapshotMessage &Message) {
                               this->onSnapshot(Message.Current);
                             });
-    Bus.Words.subscribe(this->Owner, [this](const MemberWord &Word) {
-      this->Origin.onWord(Word);
-    });
+    Bus.Announcements.subscribe(this->Owner,
+                                [this](const MemberAnnouncement &Announced) {
+                                  this->Origin.onAnnouncement(Announced);
+                                });
     Bus.Stop.subscribe(this->Owner,
                        [this](const StopMessage &) { this->onStop(); });
     this->Owner.post([this] {
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -34,7 +34,9 @@
 
   void setSnapshot(std::shared_ptr<const Snapshot> New);
 
-  void onWord(const MemberWord &Word) { this->Routes.onWord(Word); }
+  void onAnnouncement(const MemberAnnouncement &Announced) {
+    this->Routes.onAnnouncement(Announced);
+  }
 
   /** Asks callers to close their connection after each answer. */
   void setLeaving() { this->Leaving = true; }
--- a/src/plugins/http/targetprobe.h
+++ b/src/plugins/http/targetprobe.h
@@ -4,7 +4,7 @@
 #include "kernel/httpclient.h"
 #include "kernel/nodesettings.h"
 #include "kernel/task.h"
-#include "plugins/membership/memberword.h"
+#include "plugins/membership/memberannouncement.h"
 
 #include <functional>
 
@@ -12,7 +12,7 @@
 
 /**
  * Asks the target for its health from time to time. The answer is a hint for
- * "serving"; its word that it drains is binding.
+ * "serving"; when it says that it drains, that is binding.
  *
  * Thread safety: none; owned by one task.
  */
--- a/src/plugins/membership/memberword.h
+++ b/src/plugins/membership/memberannouncement.h
@@ -1,5 +1,5 @@
-#ifndef BLUEBELLBARROW_MEMBERSHIP_MEMBERWORD_H
-#define BLUEBELLBARROW_MEMBERSHIP_MEMBERWORD_H
+#ifndef BLUEBELLBARROW_MEMBERSHIP_MEMBERANNOUNCEMENT_H
+#define BLUEBELLBARROW_MEMBERSHIP_MEMBERANNOUNCEMENT_H
 
 #include "kernel/ids.h"
 
@@ -25,17 +25,18 @@
 /** Returns the name of \a State for logs and tables. */
 const char *memberStateName(MemberState State);
 
-/** A node's own word; a higher (life, sequence) replaces a lower one. */
-struct MemberWord {
+/** A node's announcement of its own state; a higher (life, sequence) replaces a
+ * lower one. */
+struct MemberAnnouncement {
   VmName Name;
   Incarnation Life;
 
-  /** Counts the words of one life. */
+  /** Counts the announcements of one life. */
   uint32_t Sequence = 0;
 
   MemberState State = MemberState::Starting;
 
-  /** Reads or writes the word with a cereal archive. */
+  /** Reads or writes the announcement with a cereal archive. */
   template <typename Archive> void serialize(Archive &Ar) {
     auto Raw = static_cast<uint8_t>(this->State);
     Ar(this->Name, this->Life, this->Sequence, Raw);
@@ -45,4 +46,4 @@
 
 } // namespace bluebellbarrow
 
-#endif // BLUEBELLBARROW_MEMBERSHIP_MEMBERWORD_H
+#endif // BLUEBELLBARROW_MEMBERSHIP_MEMBERANNOUNCEMENT_H
--- a/src/plugins/membership/membership.cpp
+++ b/src/plugins/membership/membership.cpp
@@ -9,8 +9,8 @@
 
 constexpr size_t MaxNews = 32;
 
-auto orderOf(const MemberWord &Word) {
-  return std::tuple(Word.Life, Word.Sequence);
+auto orderOf(const MemberAnnouncement &Announced) {
+  return std::tuple(Announced.Life, Announced.Sequence);
 }
 
 } // namespace
@@ -30,52 +30,53 @@
 }
 
 bool Membership::setOwnState(MemberState State) {
-  if (this->OwnWord.State == State)
+  if (this->OwnState.State == State)
     return false;
-  this->OwnWord.State = State;
-  this->OwnWord.Sequence += 1;
+  this->OwnState.State = State;
+  this->OwnState.Sequence += 1;
   return true;
 }
 
-bool Membership::merge(const MemberWord &Word) {
-  if (Word.Name == this->OwnWord.Name) {
-    if (Word.Life <= this->OwnWord.Life)
+bool Membership::merge(const MemberAnnouncement &Announced) {
+  if (Announced.Name == this->OwnState.Name) {
+    if (Announced.Life <= this->OwnState.Life)
       return false;
-    this->OwnWord.Life = Incarnation(Word.Life.value() + 1);
+    this->OwnState.Life = Incarnation(Announced.Life.value() + 1);
     return true;
   }
-  const auto [Known, New] = this->Words.emplace(Word.Name, Word);
+  const auto [Known, New] =
+      this->Announcements.emplace(Announced.Name, Announced);
   if (!New) {
-    if (orderOf(Word) <= orderOf(Known->second))
+    if (orderOf(Announced) <= orderOf(Known->second))
       return false;
-    Known->second = Word;
+    Known->second = Announced;
   }
-  std::erase(this->News, Word.Name);
-  this->News.insert(this->News.begin(), Word.Name);
+  std::erase(this->News, Announced.Name);
+  this->News.insert(this->News.begin(), Announced.Name);
   if (this->News.size() > MaxNews)
     this->News.pop_back();
   return true;
 }
 
-const MemberWord *Membership::find(const VmName &Name) const {
-  if (Name == this->OwnWord.Name)
-    return &this->OwnWord;
-  const auto Found = this->Words.find(Name);
-  return Found == this->Words.end() ? nullptr : &Found->second;
+const MemberAnnouncement *Membership::find(const VmName &Name) const {
+  if (Name == this->OwnState.Name)
+    return &this->OwnState;
+  const auto Found = this->Announcements.find(Name);
+  return Found == this->Announcements.end() ? nullptr : &Found->second;
 }
 
 bool Membership::takesWork(const VmName &Name) const {
-  const MemberWord *Word = this->find(Name);
-  return Word == nullptr || Word->State == MemberState::Serving;
+  const MemberAnnouncement *Announced = this->find(Name);
+  return Announced == nullptr || Announced->State == MemberState::Serving;
 }
 
-std::vector<MemberWord> Membership::recentNews(size_t Limit) const {
-  std::vector<MemberWord> Recent;
+std::vector<MemberAnnouncement> Membership::recentNews(size_t Limit) const {
+  std::vector<MemberAnnouncement> Recent;
   for (const VmName &Name : this->News) {
     if (Recent.size() == Limit)
       break;
-    if (const MemberWord *Word = this->find(Name))
-      Recent.push_back(*Word);
+    if (const MemberAnnouncement *Announced = this->find(Name))
+      Recent.push_back(*Announced);
   }
   return Recent;
 }
--- a/src/plugins/membership/membership.h
+++ b/src/plugins/membership/membership.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLBARROW_MEMBERSHIP_MEMBERSHIP_H
 #define BLUEBELLBARROW_MEMBERSHIP_MEMBERSHIP_H
 
-#include "memberword.h"
+#include "memberannouncement.h"
 
 #include <map>
 #include <vector>
@@ -9,45 +9,49 @@
 namespace bluebellbarrow {
 
 /**
- * The newest word of each node, which beats the platform's lagging list.
+ * The newest announcement of each node, which beats the platform's lagging
+ * list.
  *
  * Thread safety: none; owned by one task.
  */
 class Membership {
 public:
   /** Creates a membership in which this node speaks with \a Own. */
-  explicit Membership(MemberWord Own) : OwnWord(std::move(Own)) {}
+  explicit Membership(MemberAnnouncement Own) : OwnState(std::move(Own)) {}
 
-  const MemberWord &own() const { return this->OwnWord; }
+  const MemberAnnouncement &own() const { return this->OwnState; }
 
-  /** Changes this node's word. Returns false when it already says so. */
+  /** Changes this node's announcement. Returns false when it already says so.
+   */
   bool setOwnState(MemberState State);
 
   /**
-   * Takes in the word of another node. Returns true when it is news. A word
-   * about this node under a higher life raises this node's life above it.
+   * Takes in the announcement of another node. Returns true when it is news. An
+   * announcement about this node under a higher life raises this node's life
+   * above it.
    */
-  bool merge(const MemberWord &Word);
+  bool merge(const MemberAnnouncement &Announced);
 
-  /** Returns the newest word of \a Name, or null. */
-  const MemberWord *find(const VmName &Name) const;
+  /** Returns the newest announcement of \a Name, or null. */
+  const MemberAnnouncement *find(const VmName &Name) const;
 
   /** Returns true unless the node itself says that it takes nothing new. */
   bool takesWork(const VmName &Name) const;
 
-  /** Returns up to \a Limit of the newest words, the latest news first. */
-  std::vector<MemberWord> recentNews(size_t Limit) const;
+  /** Returns up to \a Limit of the newest announcements, the latest news first.
+   */
+  std::vector<MemberAnnouncement> recentNews(size_t Limit) const;
 
-  /** Forgets the words of nodes for which \a IsListed is false. */
+  /** Forgets the announcements of nodes for which \a IsListed is false. */
   template <typename Predicate> void retain(Predicate IsListed) {
-    std::erase_if(this->Words, [&IsListed](const auto &Each) {
+    std::erase_if(this->Announcements, [&IsListed](const auto &Each) {
       return !IsListed(Each.first);
     });
   }
 
 private:
-  MemberWord OwnWord;
-  std::map<VmName, MemberWord> Words;
+  MemberAnnouncement OwnState;
+  std::map<VmName, MemberAnnouncement> Announcements;
   std::vector<VmName> News;
 };
 
--- a/src/plugins/nodebus.h
+++ b/src/plugins/nodebus.h
@@ -3,7 +3,7 @@
 
 #include "kernel/task.h"
 #include "plugins/audit/auditevent.h"
-#include "plugins/membership/memberword.h"
+#include "plugins/membership/memberannouncement.h"
 #include "tree/snapshot.h"
 
 #include <chrono>
@@ -52,7 +52,7 @@
 /** The messages between a node's tasks. */
 struct NodeBus {
   Topic<SnapshotMessage> Snapshots;
-  Topic<MemberWord> Words;
+  Topic<MemberAnnouncement> Announcements;
   Topic<OwnStateMessage> OwnState;
   Topic<StopMessage> Stop;
   Topic<StoppedMessage> Stopped;
--- a/src/plugins/peer/peermessages.h
+++ b/src/plugins/peer/peermessages.h
@@ -3,7 +3,7 @@
 
 #include "kernel/httpmessage.h"
 #include "kernel/ids.h"
-#include "plugins/membership/memberword.h"
+#include "plugins/membership/memberannouncement.h"
 
 #include <compare>
 #include <cstdint>
--- a/src/plugins/routing/exchange.cpp
+++ b/src/plugins/routing/exchange.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** Time after the deadline in which the upstream's own word may still come. */
+/** Time after the deadline in which the upstream's own answer may still come.
+ */
 constexpr Duration ReplyGrace = milliseconds(20);
 
 /** Time for which the end of a broken attempt is asked for. */
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -66,19 +66,19 @@
   });
 }
 
-void Router::onWord(const MemberWord &Word) {
-  View &Target = this->Views[Word.Name];
-  const auto Order = [](const MemberWord &Each) {
+void Router::onAnnouncement(const MemberAnnouncement &Announced) {
+  View &Target = this->Views[Announced.Name];
+  const auto Order = [](const MemberAnnouncement &Each) {
     return std::tuple(Each.Life, Each.Sequence);
   };
-  if (Target.HasWord && Order(Word) <= Order(Target.Word))
+  if (Target.HasAnnouncement && Order(Announced) <= Order(Target.Announced))
     return;
-  if (Target.HasWord && Word.Life > Target.Word.Life) {
+  if (Target.HasAnnouncement && Announced.Life > Target.Announced.Life) {
     Target.FailuresInRow = 0;
     Target.EjectedUntil = TimePoint();
   }
-  Target.Word = Word;
-  Target.HasWord = true;
+  Target.Announced = Announced;
+  Target.HasAnnouncement = true;
 }
 
 void Router::onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now) {
@@ -96,7 +96,7 @@
   if (Reported && Known.Load.State != MemberState::Serving &&
       Known.Load.State != MemberState::Starting)
     return false;
-  if (Known.HasWord && Known.Word.State != MemberState::Serving)
+  if (Known.HasAnnouncement && Known.Announced.State != MemberState::Serving)
     return false;
   return !Upstream.Leaving;
 }
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -45,8 +45,8 @@
   /** Takes the endpoints of a new snapshot. */
   void setSnapshot(std::shared_ptr<const Snapshot> New, TimePoint Now);
 
-  /** Takes a node's own word. */
-  void onWord(const MemberWord &Word);
+  /** Takes a node's own announcement. */
+  void onAnnouncement(const MemberAnnouncement &Announced);
 
   /** Takes the load of an upstream that came with a reply. */
   void onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now);
@@ -75,12 +75,12 @@
     TimePoint LoadTime;
     TimePoint FirstSeen;
     TimePoint EjectedUntil;
-    MemberWord Word;
+    MemberAnnouncement Announced;
     int64_t InFlight = 0;
     int FailuresInRow = 0;
     int Ejections = 0;
     double ErrorRate = 0;
-    bool HasWord = false;
+    bool HasAnnouncement = false;
 
     /** Present before the first snapshot was replaced; not cold. */
     bool Warm = false;
--- a/src/plugins/spread/controlcodec.cpp
+++ b/src/plugins/spread/controlcodec.cpp
@@ -63,8 +63,8 @@
   DigestMessage Message;
   if (!decode(Bytes, Message) || !isKnown(Message.Sender.State))
     return std::nullopt;
-  for (const MemberWord &Word : Message.News)
-    if (!isKnown(Word.State))
+  for (const MemberAnnouncement &Announced : Message.News)
+    if (!isKnown(Announced.State))
       return std::nullopt;
   return Message;
 }
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -169,8 +169,8 @@
     this->publishStatus();
   }
 
-  void act(const WordChanged &Action) {
-    this->Context.Bus.Words.publish(Action.Word);
+  void act(const MemberChanged &Action) {
+    this->Context.Bus.Announcements.publish(Action.Announced);
   }
 
   void act(const AuditEvent &Event) {
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -13,8 +13,8 @@
 constexpr Duration MinReadInterval = milliseconds(50);
 constexpr Duration FirstReadDelay = milliseconds(200);
 constexpr int MaxReadDoublings = 5;
-/** Rounds of digests in which news reaches a whole failure domain. */
-constexpr int NewsRounds = 8;
+/** Digests of a node in which news reaches a whole failure domain. */
+constexpr int64_t NewsDigests = 16;
 
 constexpr Duration MaxHold = milliseconds(500);
 
@@ -29,10 +29,10 @@
                                                  this->Options.Seed + 1),
                                           Stream(ItemKind::VmList,
                                                  this->Options.Seed + 2)},
-      Members(MemberWord{.Name = this->Options.Self,
-                         .Life = this->Options.Life,
-                         .Sequence = 1,
-                         .State = MemberState::Starting}),
+      Members(MemberAnnouncement{.Name = this->Options.Self,
+                                 .Life = this->Options.Life,
+                                 .Sequence = 1,
+                                 .State = MemberState::Starting}),
       Schedule({}, this->Options.Seed + 3, Now),
       Boot(this->Options.BootSilence), Started(Now), NextDigest(Now),
       NextAsk(Now), HoldUntil(Now), TransferWindow(Now) {}
@@ -199,16 +199,20 @@
     this->applyVmList();
   else
     this->Tuning = this->PolicyOf(*Version);
-  this->Schedule.setOptions(
-      {.Readers = this->Tuning.Readers,
-       .Base = this->Tuning.ReadBase,
-       .Step = this->Tuning.ReadStep,
-       .NewsDelay = this->Tuning.DigestPeriod * NewsRounds});
+  this->Schedule.setOptions({.Readers = this->Tuning.Readers,
+                             .Base = this->Tuning.ReadBase,
+                             .Step = this->Tuning.ReadStep,
+                             .NewsDelay = this->newsDelay()});
   this->audit(AuditKind::Applied, Kind, Version->Id, From, "");
   this->Actions.emplace_back(VersionInForce{Kind});
   this->forward(Kind, How, Address(From), Now);
 }
 
+Duration Spread::newsDelay() const {
+  const int64_t Peers = std::max<int64_t>(1, this->Tuning.DigestPeers);
+  return this->Tuning.DigestPeriod * NewsDigests / Peers;
+}
+
 void Spread::applyVmList() {
   const WholeVersionPtr List = this->store(ItemKind::VmList).current();
   std::vector<Vm> All;
@@ -278,39 +282,41 @@
     return;
   this->audit(AuditKind::StateChanged, ItemKind::VmList, VersionId(), "self",
               memberStateName(State));
-  this->forwardWords({this->Members.own()}, Address());
+  this->forwardAnnouncements({this->Members.own()}, Address());
   const auto &Members = this->Nodes.domainMembers();
   std::vector<Address> Roots = this->Nodes.otherRoots();
   if (!Members.empty() && this->Nodes.rank() > 0)
     Roots.push_back(Members.front().Ip);
   for (const Address &Root : Roots)
     this->Actions.emplace_back(
-        SendControl{Root, WordsMessage{{this->Members.own()}}});
+        SendControl{Root, AnnouncementsMessage{{this->Members.own()}}});
   this->NextDigest = Now;
 }
 
-void Spread::forwardWords(const std::vector<MemberWord> &Words,
-                          const Address &From) {
+void Spread::forwardAnnouncements(
+    const std::vector<MemberAnnouncement> &Announcements, const Address &From) {
   const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
   for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
     if (Child != From)
-      this->Actions.emplace_back(SendControl{Child, WordsMessage{Words}});
+      this->Actions.emplace_back(
+          SendControl{Child, AnnouncementsMessage{Announcements}});
 }
 
-bool Spread::mergeWord(const MemberWord &Word, const Address &From) {
-  if (Word.Name.empty())
+bool Spread::mergeAnnouncement(const MemberAnnouncement &Announced,
+                               const Address &From) {
+  if (Announced.Name.empty())
     return false;
-  const MemberWord *Known = this->Members.find(Word.Name);
-  const bool Changes = Known == nullptr || Known->State != Word.State;
-  if (!this->Members.merge(Word))
+  const MemberAnnouncement *Known = this->Members.find(Announced.Name);
+  const bool Changes = Known == nullptr || Known->State != Announced.State;
+  if (!this->Members.merge(Announced))
     return false;
-  const bool Leaves =
-      Word.State == MemberState::Draining || Word.State == MemberState::Gone;
+  const bool Leaves = Announced.State == MemberState::Draining ||
+                      Announced.State == MemberState::Gone;
   if (Changes && Leaves)
     this->audit(AuditKind::StateChanged, ItemKind::VmList, VersionId(),
                 From.str(),
-                Word.Name.str() + " " + memberStateName(Word.State));
-  this->Actions.emplace_back(WordChanged{Word});
+                Announced.Name.str() + " " + memberStateName(Announced.State));
+  this->Actions.emplace_back(MemberChanged{Announced});
   return true;
 }
 
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -140,7 +140,8 @@
   void onTransfer(const Address &From, const TransferMessage &Message,
                   TimePoint Now);
   void onPull(const Address &From, const PullMessage &Message, TimePoint Now);
-  void onWords(const Address &From, const WordsMessage &Message);
+  void onAnnouncements(const Address &From,
+                       const AnnouncementsMessage &Message);
 
   void takeConfigManifest(const std::string &Text, TimePoint Now);
   void takeVmList(const std::string &Text, TimePoint Now);
@@ -148,11 +149,15 @@
   void accept(ItemKind Kind, const WholeVersionPtr &Version, Origin How,
               const std::string &From, TimePoint Now);
   void applyVmList();
+  Duration newsDelay() const;
   void forward(ItemKind Kind, Origin How, const Address &From, TimePoint Now);
   void push(const Address &To, ItemKind Kind, bool WithContent, TimePoint Now);
   void adopt(const std::vector<OpenPush> &Lost, TimePoint Now);
-  void forwardWords(const std::vector<MemberWord> &Words, const Address &From);
-  bool mergeWord(const MemberWord &Word, const Address &From);
+  void
+  forwardAnnouncements(const std::vector<MemberAnnouncement> &Announcements,
+                       const Address &From);
+  bool mergeAnnouncement(const MemberAnnouncement &Announced,
+                         const Address &From);
 
   void pollBoot(TimePoint Now);
   void pollReads(TimePoint Now);
--- a/src/plugins/spread/spreadactions.h
+++ b/src/plugins/spread/spreadactions.h
@@ -44,14 +44,14 @@
   ItemKind Kind = ItemKind::Config;
 };
 
-/** A word about another node has changed. */
-struct WordChanged {
-  MemberWord Word;
+/** An announcement about another node has changed. */
+struct MemberChanged {
+  MemberAnnouncement Announced;
 };
 
 using SpreadAction =
     std::variant<SendDigest, SendControl, ReadPlatform, ReadPart,
-                 VersionInForce, WordChanged, AuditEvent>;
+                 VersionInForce, MemberChanged, AuditEvent>;
 
 using SpreadActions = std::vector<SpreadAction>;
 
--- a/src/plugins/spread/spreadmessages.cpp
+++ b/src/plugins/spread/spreadmessages.cpp
@@ -10,7 +10,7 @@
 constexpr int Hexadecimal = 16;
 
 constexpr std::array<const char *, std::variant_size_v<ControlMessage>> Names =
-    {"offer", "transfer", "ack", "pull", "busy", "words"};
+    {"offer", "transfer", "ack", "pull", "busy", "announcements"};
 
 } // namespace
 
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -2,7 +2,7 @@
 #define BLUEBELLBARROW_SPREAD_SPREADMESSAGES_H
 
 #include "kernel/ids.h"
-#include "plugins/membership/memberword.h"
+#include "plugins/membership/memberannouncement.h"
 #include "tree/catalog.h"
 
 #include <array>
@@ -56,7 +56,7 @@
 struct DigestMessage {
   MeshId Mesh;
   DigestPurpose Purpose = DigestPurpose::Round;
-  MemberWord Sender;
+  MemberAnnouncement Sender;
 
   /** The versions in force, by ItemKind. */
   std::array<VersionTag, ItemKindCount> Versions;
@@ -64,8 +64,8 @@
   FailureDomain Domain;
   ReadNews Read;
 
-  /** Recent words of others. */
-  std::vector<MemberWord> News;
+  /** Recent announcements of others. */
+  std::vector<MemberAnnouncement> News;
 
   template <typename Archive> void serialize(Archive &Ar) {
     auto Raw = static_cast<uint8_t>(this->Purpose);
@@ -148,16 +148,19 @@
   }
 };
 
-/** Words that go down the tree at once. */
-struct WordsMessage {
-  std::vector<MemberWord> Words;
+/** Announcements that go down the tree at once. */
+struct AnnouncementsMessage {
+  std::vector<MemberAnnouncement> Announcements;
 
-  template <typename Archive> void serialize(Archive &Ar) { Ar(this->Words); }
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Announcements);
+  }
 };
 
 /** Any message of a control stream; the index is the frame's kind. */
-using ControlMessage = std::variant<OfferMessage, TransferMessage, AckMessage,
-                                    PullMessage, BusyMessage, WordsMessage>;
+using ControlMessage =
+    std::variant<OfferMessage, TransferMessage, AckMessage, PullMessage,
+                 BusyMessage, AnnouncementsMessage>;
 
 /** Returns the name of a message for metrics and golden files. */
 const char *controlMessageName(const ControlMessage &Message);
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -40,8 +40,9 @@
     this->onPull(From, *Pull, Now);
   else if (const auto *Busy = std::get_if<BusyMessage>(&Message))
     this->stream(Busy->Kind).Pulls.onBusy(From, *Busy, Now);
-  else if (const auto *Words = std::get_if<WordsMessage>(&Message))
-    this->onWords(From, *Words);
+  else if (const auto *Announcements =
+               std::get_if<AnnouncementsMessage>(&Message))
+    this->onAnnouncements(From, *Announcements);
 }
 
 void Spread::onOffer(const Address &From, const OfferMessage &Message,
@@ -105,13 +106,14 @@
   this->Actions.emplace_back(SendControl{From, std::move(Transfer)});
 }
 
-void Spread::onWords(const Address &From, const WordsMessage &Message) {
-  std::vector<MemberWord> News;
-  for (const MemberWord &Word : Message.Words)
-    if (this->mergeWord(Word, From))
-      News.push_back(Word);
+void Spread::onAnnouncements(const Address &From,
+                             const AnnouncementsMessage &Message) {
+  std::vector<MemberAnnouncement> News;
+  for (const MemberAnnouncement &Announced : Message.Announcements)
+    if (this->mergeAnnouncement(Announced, From))
+      News.push_back(Announced);
   if (!News.empty())
-    this->forwardWords(News, From);
+    this->forwardAnnouncements(News, From);
 }
 
 void Spread::onDigest(const Address &From, const DigestMessage &Message,
@@ -124,9 +126,9 @@
     return;
 
   this->HoldUntil = std::min(this->HoldUntil, Now);
-  this->mergeWord(Message.Sender, From);
-  for (const MemberWord &Word : Message.News)
-    this->mergeWord(Word, From);
+  this->mergeAnnouncement(Message.Sender, From);
+  for (const MemberAnnouncement &Announced : Message.News)
+    this->mergeAnnouncement(Announced, From);
   if (Message.Domain == this->Options.Domain)
     this->Schedule.onHeard(Message.Read, Now);
   this->compareVersions(From, Message, Now);
