--- a/src/bluebellbarrow/commandline.cpp
+++ b/src/bluebellbarrow/commandline.cpp
@@ -193,7 +193,10 @@
     if (!takesFlag(Chosen, Name))
       return badUsage(Chosen, "unknown flag --" + Name);
     if (gflags::SetCommandLineOption(Name.c_str(), Value.c_str()).empty())
-      return badUsage(Chosen, "bad value '" + Value + "' for --" + Name);
+      return badUsage(Chosen, std::string("bad value '")
+                                  .append(Value)
+                                  .append("' for --")
+                                  .append(Name));
   }
   if (Given.Positional.size() != Chosen.Positional)
     return badUsage(Chosen, "expected " + std::to_string(Chosen.Positional) +
--- a/tests/kernel/httpclient_test.cpp
+++ b/tests/kernel/httpclient_test.cpp
@@ -62,8 +62,8 @@
       Server.port(), std::vector<std::string>(20, "GET"), seconds(2));
   for (size_t Index = 0; Index < Results.size(); ++Index) {
     cr_expect_eq(Results[Index].End, CallEnd::Answered);
-    cr_expect_str_eq(Results[Index].Response.Body.c_str(),
-                     ("answer " + std::to_string(Index + 1)).c_str());
+    const std::string Expected = "answer " + std::to_string(Index + 1);
+    cr_expect_str_eq(Results[Index].Response.Body.c_str(), Expected.c_str());
   }
   cr_expect_eq(Server.connections(), 1);
 }
--- a/tests/support/callworld.cpp
+++ b/tests/support/callworld.cpp
@@ -180,7 +180,7 @@
 void CallWorld::begin(size_t Service, const std::string &Id, TimePoint Deadline,
                       std::function<void(Outcome, bool, bool)> OnEnd) {
   if (this->Options.BlindRetries) {
-    this->beginBlind(Service, Id, Deadline, 1, std::move(OnEnd));
+    this->beginBlind(Service, Id, Deadline, 1, OnEnd);
     return;
   }
   auto Call = std::make_shared<Pending>();
@@ -197,9 +197,9 @@
 }
 
 /** The baseline: a random target, its own queue, and blind retries. */
-void CallWorld::beginBlind(size_t Service, const std::string &Id,
-                           TimePoint Deadline, int Attempt,
-                           std::function<void(Outcome, bool, bool)> OnEnd) {
+void CallWorld::beginBlind(
+    size_t Service, const std::string &Id, TimePoint Deadline, int Attempt,
+    const std::function<void(Outcome, bool, bool)> &OnEnd) {
   std::uniform_int_distribution<size_t> Draw(0, this->Options.Upstreams - 1);
   const VmName Name = nameOf(Service, Draw(this->Random));
   const auto Ended = std::make_shared<bool>(false);
@@ -367,7 +367,7 @@
 
 void CallWorld::runTarget(Upstream &At, const std::string &Id,
                           TimePoint Deadline,
-                          std::function<void(bool, bool)> OnDone) {
+                          const std::function<void(bool, bool)> &OnDone) {
   if (!this->Options.Admit && At.Busy >= this->Options.Slots) {
     At.Waiting.push_back([this, &At, Id, Deadline, OnDone] {
       this->runTarget(At, Id, Deadline, OnDone);
--- a/tests/support/callworld.h
+++ b/tests/support/callworld.h
@@ -107,7 +107,8 @@
   void begin(size_t Service, const std::string &Id, TimePoint Deadline,
              std::function<void(Outcome, bool, bool)> OnEnd);
   void beginBlind(size_t Service, const std::string &Id, TimePoint Deadline,
-                  int Attempt, std::function<void(Outcome, bool, bool)> OnEnd);
+                  int Attempt,
+                  const std::function<void(Outcome, bool, bool)> &OnEnd);
   void carryOut(const PendingPtr &Call, const ExchangeActions &Actions);
   void act(const PendingPtr &Call, const StartAttempt &Action);
   void act(const PendingPtr &Call, const CancelAttempt &Action);
@@ -121,7 +122,7 @@
   void reply(Upstream &At, uint64_t Life, const RequestKey &Key, Outcome Result,
              bool Good, bool NoRetry);
   void runTarget(Upstream &At, const std::string &Id, TimePoint Deadline,
-                 std::function<void(bool, bool)> OnDone);
+                 const std::function<void(bool, bool)> &OnDone);
   void releaseSlot(Upstream &At);
   Upstream &upstream(const VmName &Name);
   void whenAwake(Upstream &At, std::function<void()> Work);
--- a/tests/support/rawserver.cpp
+++ b/tests/support/rawserver.cpp
@@ -17,7 +17,9 @@
   sockaddr_in Local{};
   Local.sin_family = AF_INET;
   inet_pton(AF_INET, Address.c_str(), &Local.sin_addr);
-  bind(this->Listener, reinterpret_cast<sockaddr *>(&Local), sizeof(Local));
+  if (bind(this->Listener, reinterpret_cast<sockaddr *>(&Local),
+           sizeof(Local)) != 0)
+    return;
   listen(this->Listener, 16);
   socklen_t Length = sizeof(Local);
   getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Local), &Length);
@@ -27,7 +29,8 @@
 
 RawServer::~RawServer() {
   this->Stopping = true;
-  this->Thread.join();
+  if (this->Thread.joinable())
+    this->Thread.join();
   close(this->Listener);
 }
 
--- a/tests/support/spreadworld.cpp
+++ b/tests/support/spreadworld.cpp
@@ -314,9 +314,10 @@
   return !this->Cuts.contains({From, To});
 }
 
-void SpreadWorld::sendFrom(Node &Source, const Address &To,
-                           std::function<void(Node &, const Address &)> Deliver,
-                           bool Reliable) {
+void SpreadWorld::sendFrom(
+    Node &Source, const Address &To,
+    const std::function<void(Node &, const Address &)> &Deliver,
+    bool Reliable) {
   Node *Target = this->byAddress(To);
   const std::string From = Source.Listed.Name.str();
   const bool Alive = Target != nullptr && Target->Decisions != nullptr;
--- a/tests/support/spreadworld.h
+++ b/tests/support/spreadworld.h
@@ -75,7 +75,7 @@
   void carryOut(Node &Source);
   void act(Node &Source, const SpreadAction &Action);
   void sendFrom(Node &Source, const Address &To,
-                std::function<void(Node &, const Address &)> Deliver,
+                const std::function<void(Node &, const Address &)> &Deliver,
                 bool Reliable);
   void answerRead(const Watch &Read, bool Final);
   void pollWatches();
