Routes are found by segments of the path; ended attempts are forgotten

Cause: read as a newcomer, two things stood out. A call was matched against every route (2,200 at the size to design for). And the client for other nodes kept an entry for each attempt whose stream broke and which was not asked about again, or which was cancelled and tried elsewhere: memory that only grew. Ruled out: that a kept entry could give an answer to another call; numbers are never used twice. Change: an index by method and prefix; the origin tells the client of each attempt that is over.

--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -189,6 +189,7 @@
   const auto Found = this->Calls.find(Id);
   if (Found == this->Calls.end() || !Found->second.Decisions->done())
     return;
+  this->Peers.forget(Found->second.Attempt);
   this->ByAttempt.erase(Found->second.Attempt);
   this->ByCaller.erase(Found->second.Caller);
   this->Calls.erase(Found);
@@ -197,6 +198,7 @@
 void OriginCalls::act(CallId Id, const StartAttempt &Action) {
   const TimePoint Now = Task::now();
   Call &Target = this->Calls.at(Id);
+  this->Peers.forget(Target.Attempt);
   this->ByAttempt.erase(Target.Attempt);
   Target.Attempt = RequestNumber(++this->LastNumber);
   this->ByAttempt[Target.Attempt] = Id;
--- a/src/tree/snapshot.cpp
+++ b/src/tree/snapshot.cpp
@@ -7,11 +7,16 @@
 
 namespace {
 
-bool hasPrefix(const std::string &Path, const std::string &Prefix) {
-  if (Path.compare(0, Prefix.size(), Prefix) != 0)
-    return false;
-  return Prefix.back() == '/' || Path.size() == Prefix.size() ||
-         Path[Prefix.size()] == '/';
+std::string indexKey(const std::string &Method, const std::string &Prefix) {
+  return Method + " " + Prefix;
+}
+
+/** Shortens "/a/b" to "/a/", and "/a/" to "/a". */
+void dropSegment(std::string &Path) {
+  if (Path.back() == '/')
+    Path.pop_back();
+  else
+    Path.resize(Path.rfind('/') + 1);
 }
 
 void addRoutes(Snapshot &Target, const SettingsTree &Tree, size_t Index) {
@@ -29,11 +34,12 @@
 
 const RouteEntry *Snapshot::findRoute(const std::string &Method,
                                       const std::string &Path) const {
-  const auto Found = std::find_if(
-      this->Routes.begin(), this->Routes.end(), [&](const RouteEntry &Each) {
-        return Each.Method == Method && hasPrefix(Path, Each.PathPrefix);
-      });
-  return Found == this->Routes.end() ? nullptr : &*Found;
+  for (std::string Prefix = Path; !Prefix.empty(); dropSegment(Prefix)) {
+    const auto Found = this->RouteIndex.find(indexKey(Method, Prefix));
+    if (Found != this->RouteIndex.end())
+      return &this->Routes[Found->second];
+  }
+  return nullptr;
 }
 
 const ServiceEntry *Snapshot::findService(const ServiceName &Name) const {
@@ -67,10 +73,10 @@
          .Upstreams = std::move(ByService[Name])});
     addRoutes(*Target, Tree, Target->Services.size() - 1);
   }
-  std::stable_sort(Target->Routes.begin(), Target->Routes.end(),
-                   [](const RouteEntry &A, const RouteEntry &B) {
-                     return A.PathPrefix.size() > B.PathPrefix.size();
-                   });
+  for (size_t Index = 0; Index < Target->Routes.size(); ++Index) {
+    const RouteEntry &Route = Target->Routes[Index];
+    Target->RouteIndex.emplace(indexKey(Route.Method, Route.PathPrefix), Index);
+  }
   return Target;
 }
 
--- a/src/tree/snapshot.h
+++ b/src/tree/snapshot.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bluebellbarrow {
@@ -45,12 +46,17 @@
   FailureDomain Domain;
   std::vector<ServiceEntry> Services;
 
-  /** Longest path prefix first. */
   std::vector<RouteEntry> Routes;
 
+  /** Index into Routes by method, a space and path prefix. */
+  std::unordered_map<std::string, size_t> RouteIndex;
+
   SpreadPolicy Spread;
 
-  /** Returns the route of a call, or nothing. */
+  /**
+   * Returns the route with the longest prefix of whole segments of \a Path, or
+   * null. The time grows with the segments of the path only.
+   */
   const RouteEntry *findRoute(const std::string &Method,
                               const std::string &Path) const;
 
--- a/tests/tree/tree_test.cpp
+++ b/tests/tree/tree_test.cpp
@@ -103,7 +103,9 @@
 
 Test(snapshot, matches_whole_path_segments_longest_first) {
   BranchTexts Texts = goodTree();
-  Texts["service/c"] = "[route r]\nmatch = GET /a/deep\n";
+  Texts["service/c"] = "[route r]\nmatch = GET /a/deep\n"
+                       "[route slash]\nmatch = GET /only/\n"
+                       "[route root]\nmatch = PUT /\n";
   const auto Tree = SettingsTree::parse(Texts);
   const auto Made = compileSnapshot(*Tree.value(), VersionId(), {}, VersionId(),
                                     FailureDomain("p"));
@@ -116,5 +118,10 @@
   cr_expect_str_eq(ServiceOf("GET", "/a/x").c_str(), "a");
   cr_expect_str_eq(ServiceOf("GET", "/a/deep/x").c_str(), "c");
   cr_expect_str_eq(ServiceOf("GET", "/ab").c_str(), "-");
+  cr_expect_str_eq(ServiceOf("GET", "/only/x").c_str(), "c");
+  cr_expect_str_eq(ServiceOf("GET", "/only").c_str(), "-");
+  cr_expect_str_eq(ServiceOf("PUT", "/any/where").c_str(), "c");
+  cr_expect_str_eq(ServiceOf("GET", "").c_str(), "-");
+  cr_expect_str_eq(ServiceOf("GET", "no-slash").c_str(), "-");
   cr_expect_str_eq(ServiceOf("POST", "/a").c_str(), "-");
 }
