Calls that end as unknown are logged with request, upstream and version

Change: a record for each call that this node answers with an error of its own: unknown at level info, not run at debug, so that shedding floods no log. Ruled out: nothing else logged a request.

--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -203,6 +203,7 @@
   Target.Attempt = RequestNumber(++this->LastNumber);
   this->ByAttempt[Target.Attempt] = Id;
   Target.Message.Number = Target.Attempt;
+  Target.Upstream = Action.Upstream.Name;
   Target.Message.Remaining = static_cast<uint64_t>(
       std::max<int64_t>(0, toMicroseconds(Target.Deadline - Now)));
   Target.Local = Action.Upstream.Name == this->Self.Name;
@@ -251,6 +252,13 @@
   int Status = NotRun ? StatusNotRun : StatusUnknown;
   if (Action.Late && !NotRun)
     Status = StatusLate;
+  logRecord(NotRun ? LogLevel::Debug : LogLevel::Info,
+            {.Step = "call " + Target.Message.Service.str() + "/" +
+                     Target.Message.Route.str(),
+             .Peer = Target.Upstream.str(),
+             .Version = this->Current->Version.text(),
+             .Request = Target.Attempt.value()},
+            std::string(Name) + ": " + Action.Reason);
   this->answer(Target.Caller,
                {.Status = Status,
                 .Headers = {{header::Outcome, Name},
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -57,8 +57,9 @@
     RequestMessage Message;
     TimePoint Deadline;
 
-    /** Number of the current attempt. */
+    /** Number of the current attempt, and where it went. */
     RequestNumber Attempt;
+    VmName Upstream;
 
     /** The answer of the current attempt, until it is forwarded. */
     HttpResponse Answer;
