--- a/src/bluebellbarrow/fleetclient.cpp
+++ b/src/bluebellbarrow/fleetclient.cpp
@@ -82,8 +82,8 @@
   Survey(const std::string &Mesh, const std::vector<Vm> &Nodes, int Port)
       : Mesh(meshIdOf(Mesh)), Nodes(Nodes), Port(Port),
         Owner({.Name = "client", .MaxSockets = 64}),
-        Socket(Owner, Address("0.0.0.0"), 0,
-               [this](const DatagramPeer &From, std::string_view Bytes) {
+        Socket(Owner, {.Ip = Address("0.0.0.0"), .Port = 0},
+               [this](const Endpoint &From, std::string_view Bytes) {
                  this->onAnswer(From.Ip, Bytes);
                }),
         Send(Owner, [this] { this->sendSome(); }),
--- a/src/bluebellbarrow/fleetcommands.cpp
+++ b/src/bluebellbarrow/fleetcommands.cpp
@@ -162,23 +162,25 @@
 
 namespace {
 
-Result<std::string> fetchAudit(const Address &Ip, int Port) {
+Result<std::string> fetchAudit(const Endpoint &Admin) {
   Task Owner({.Name = "client", .MaxSockets = 16});
   HttpClient Client(Owner, {.Name = "audit",
                             .LocalIp = Address(),
-                            .Ip = Ip,
-                            .Port = Port,
+                            .Remote = Admin,
                             .Slots = 1,
                             .MaxBodyBytes = MaxAuditBytes});
   CallResult Answer;
-  Client.call({.Method = "GET", .Target = "/audit", .Headers = {}, .Body = {}},
+  Client.call({.Method = "GET",
+               .Target = "/audit",
+               .Headers = {{"Host", Admin.text()}},
+               .Body = {}},
               AuditLimit, [&](const CallResult &Result) {
                 Answer = Result;
                 Owner.stop();
               });
   Owner.run();
   if (Answer.End != CallEnd::Answered)
-    return makeError(Errc::Unreachable, "read audit trail", Ip.str(),
+    return makeError(Errc::Unreachable, "read audit trail", Admin.text(),
                      Answer.Cause);
   return Answer.Response.Body;
 }
@@ -204,17 +206,12 @@
 } // namespace
 
 int showAudit(const std::string &Admin, bool AsJson) {
-  const size_t Colon = Admin.rfind(':');
-  int Port = 0;
-  if (Colon != std::string::npos)
-    std::from_chars(Admin.data() + Colon + 1, Admin.data() + Admin.size(),
-                    Port);
-  if (Port <= 0) {
+  const Result<Endpoint> Place = parseEndpoint(Admin, 0);
+  if (!Place || Place.value().Port == 0) {
     std::cerr << "audit: --admin is IP:PORT\n";
     return ExitBadInput;
   }
-  const Result<std::string> Text =
-      fetchAudit(Address(Admin.substr(0, Colon)), Port);
+  const Result<std::string> Text = fetchAudit(Place.value());
   if (!Text) {
     std::cerr << "audit: " << Text.error().message() << '\n';
     return ExitFailed;
--- a/src/bluebellbarrow/nodecommand.cpp
+++ b/src/bluebellbarrow/nodecommand.cpp
@@ -2,14 +2,17 @@
 
 #include "exitcodes.h"
 #include "kernel/log.h"
+#include "kernel/signalwatch.h"
 #include "plugins/metrics/metrics.h"
 #include "plugins/nodeplugin.h"
+#include "plugins/platform/platformsource.h"
+#include "plugins/settingswatch.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <random>
-#include <thread>
 #include <vector>
 
 namespace bluebellbarrow {
@@ -21,6 +24,12 @@
 
 constexpr unsigned RandomBits = 10;
 
+/** Time for which log lines are held at most. */
+constexpr Duration LogFlushPeriod = milliseconds(100);
+
+/** Names the file of settings where the command line does not. */
+constexpr const char *SettingsVariable = "BLUEBELLBARROW_SETTINGS";
+
 /** Returns a number that grows with the clock and differs at each start. */
 Incarnation newLife() {
   const auto Now = std::chrono::system_clock::now().time_since_epoch();
@@ -31,70 +40,89 @@
   return Incarnation((static_cast<uint64_t>(Millis) << RandomBits) | Random);
 }
 
-/** Blocks the stop signals in this thread and those it starts. */
-sigset_t blockStopSignals() {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return Signals;
+/** Returns the given path, or the one that the environment names. */
+std::string settingsPath(const std::string &Given) {
+  const char *Named = std::getenv(SettingsVariable);
+  return Given.empty() && Named != nullptr ? Named : Given;
+}
+
+/** Creates and prepares every plug-in; empty after a failure. */
+std::vector<std::unique_ptr<NodePlugin>> preparePlugins(NodeContext &Context) {
+  std::vector<std::unique_ptr<NodePlugin>> Plugins;
+  const NodePluginRegistry &Known = NodePluginRegistry::instance();
+  for (const std::string &Name : Known.names())
+    Plugins.push_back(Known.create(Name, Context));
+  for (const auto &Each : Plugins) {
+    const Result<std::monostate> Prepared = Each->prepare();
+    if (!Prepared) {
+      logError(LogLevel::Error, Prepared.error());
+      return {};
+    }
+  }
+  return Plugins;
 }
 
 } // namespace
 
-int runNode(const std::string &SettingsPath) {
-  const Result<NodeSettings> Settings = readNodeSettings(SettingsPath);
+int runNode(const std::string &GivenPath) {
+  const std::string Path = settingsPath(GivenPath);
+  const Result<NodeSettings> Settings = readNodeSettings(Path, defaultKeys());
   if (!Settings) {
     std::cerr << "bluebellbarrow: " << Settings.error().message() << '\n';
     return ExitBadInput;
   }
+  if (!PlatformSourceRegistry::instance().contains(
+          Settings.value().PlatformProtocol)) {
+    std::cerr << "bluebellbarrow: " << Path << ": unknown platform protocol '"
+              << Settings.value().PlatformProtocol << "'\n";
+    return ExitBadInput;
+  }
   initLog(Settings.value().Log);
-  const sigset_t Signals = blockStopSignals();
+  SignalWatch::block({SIGTERM, SIGINT, SIGHUP});
 
   NodeBus Bus;
   Metrics Counters;
+  TaskPool Tasks(Settings.value().Threads == 1);
+  Task &Main = Tasks.main();
   NodeContext Context{.Settings = Settings.value(),
+                      .Tasks = Tasks,
                       .Bus = Bus,
                       .Counters = Counters,
                       .Life = newLife()};
-  Task Main({.Name = "main", .MaxSockets = 64});
   uint64_t CutRequests = 0;
+  Timer LastWord(Main, [&Main] { Main.stop(); });
   Bus.Stopped.subscribe(Main, [&](const StoppedMessage &Message) {
     CutRequests = Message.CutRequests;
-    Main.stop();
+    Bus.OwnState.publish({MemberState::Gone});
+    LastWord.start(LastWordTime);
   });
-
-  std::vector<std::unique_ptr<NodePlugin>> Plugins;
-  const NodePluginRegistry &Known = NodePluginRegistry::instance();
-  for (const std::string &Name : Known.names())
-    Plugins.push_back(Known.create(Name, Context));
-  for (const auto &Each : Plugins) {
-    const Result<std::monostate> Prepared = Each->prepare();
-    if (!Prepared) {
-      logError(LogLevel::Error, Prepared.error());
-      return ExitFailed;
-    }
-  }
-  for (const auto &Each : Plugins)
-    Each->start();
-  logRecord(LogLevel::Info, {.Step = "start"},
-            "node " + Settings.value().Name.str() + " is up");
-
-  std::thread Waiter([&Signals, &Bus] {
-    int Signal = 0;
-    sigwait(&Signals, &Signal);
-    Bus.Stop.publish({});
+  SettingsWatch Watch(Main, Path, Settings.value(),
+                      [&Bus](std::shared_ptr<const NodeSettings> New) {
+                        Bus.Settings.publish({std::move(New)});
+                      });
+  const SignalWatch Signals(Main, {SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
+    if (Signal == SIGHUP)
+      Watch.reload();
+    else
+      Bus.Stop.publish({});
+  });
+  Timer Flush(Main, [&Flush] {
+    flushLog();
+    Flush.start(LogFlushPeriod);
   });
-  Main.run();
-  Waiter.join();
-  Bus.OwnState.publish({MemberState::Gone});
-  std::this_thread::sleep_for(LastWordTime);
-  for (const auto &Each : Plugins)
-    Each->stop();
-  logRecord(LogLevel::Info, {.Step = "stop"},
-            std::to_string(CutRequests) + " requests were cut");
+  Flush.start(LogFlushPeriod);
+
+  const auto Plugins = preparePlugins(Context);
+  if (Plugins.empty())
+    return ExitFailed;
+  logEvent(LogLevel::Info, "node started",
+           {{"node", Settings.value().Name.str()},
+            {"service", Settings.value().Service.str()},
+            {"life", Context.Life.value()}});
+  Tasks.run();
+  Tasks.stopOthers();
+  logEvent(LogLevel::Info, "node stopped", {{"cut_requests", CutRequests}});
+  flushLog();
   return CutRequests == 0 ? ExitGood : ExitCut;
 }
 
--- a/src/bluebellbarrow/treecommands.cpp
+++ b/src/bluebellbarrow/treecommands.cpp
@@ -81,8 +81,8 @@
   for (const FailureDomain &Domain : domainsOf(Tree))
     for (const ServiceName &Service : Tree.services()) {
       addValues(All, Tree, Domain, Service, RouteName());
-      for (const RouteBranch &Route : Tree.routes(Service))
-        addValues(All, Tree, Domain, Service, Route.Name);
+      for (const RouteBranch *Route : Tree.routes(Service))
+        addValues(All, Tree, Domain, Service, Route->Name);
     }
   return All;
 }
@@ -163,8 +163,8 @@
   const auto &Routes = Tree->routes(Service);
   const bool KnownRoute =
       Route.empty() || std::any_of(Routes.begin(), Routes.end(),
-                                   [&Route](const RouteBranch &Each) {
-                                     return Each.Name == Route;
+                                   [&Route](const RouteBranch *Each) {
+                                     return Each->Name == Route;
                                    });
   if (!KnownRoute) {
     std::cerr << "explain: service '" << Service.str() << "' has no route '"
--- /dev/null
+++ b/src/kernel/endpoint.h
@@ -0,0 +1,42 @@
+#ifndef BLUEBELLBARROW_KERNEL_ENDPOINT_H
+#define BLUEBELLBARROW_KERNEL_ENDPOINT_H
+
+#include "error.h"
+#include "ids.h"
+
+#include <compare>
+#include <string>
+
+namespace bluebellbarrow {
+
+/** An IPv4 number with a port. */
+struct Endpoint {
+  Address Ip;
+  int Port = 0;
+
+  auto operator<=>(const Endpoint &) const = default; // NOLINT
+
+  /** Returns "IP:PORT". */
+  std::string text() const {
+    return this->Ip.str() + ":" + std::to_string(this->Port);
+  }
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    auto Number = static_cast<uint16_t>(this->Port);
+    Ar(this->Ip, Number);
+    this->Port = Number;
+  }
+};
+
+/** Returns true for the text of an IPv4 number. Thread safety: safe. */
+bool isIp(const std::string &Text);
+
+/**
+ * Reads "IP:PORT", or "IP" with \a DefaultPort. Errors: BadValue.
+ * Thread safety: safe.
+ */
+Result<Endpoint> parseEndpoint(const std::string &Text, int DefaultPort);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_KERNEL_ENDPOINT_H
--- a/src/kernel/frametransport.h
+++ b/src/kernel/frametransport.h
@@ -4,18 +4,17 @@
 #include "error.h"
 #include "framereader.h"
 #include "ids.h"
+#include "tcpconnection.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-struct lws;
-struct lws_vhost;
-
 namespace bluebellbarrow {
 
 class Task;
+class TcpListener;
 
 /** Number of a stream of a FrameTransport, never used twice. */
 using StreamId = StrongNumber<struct StreamIdTag>;
@@ -69,7 +68,7 @@
   FrameTransport &operator=(const FrameTransport &) = delete;
 
   /** Returns false when the port can't be listened on. */
-  bool listening() const { return this->Vhost != nullptr; }
+  bool listening() const { return this->Listener != nullptr; }
 
   /** Opens a stream; Connected or Closed follows, never within the call. */
   StreamId connect(const Address &Peer, int Port);
@@ -86,40 +85,23 @@
   /** Returns the address of the other side; empty for a closed stream. */
   Address peer(StreamId Stream) const;
 
-  uint64_t bytesSent() const { return this->BytesSent; }
-
-  uint64_t bytesReceived() const { return this->BytesReceived; }
-
-  /** Handles an event of the library; not for other callers. */
-  int handleEvent(lws *Wsi, int Reason, void *In, size_t Length);
-
 private:
   struct Stream;
 
   Stream *find(StreamId Id) const;
-
-  /** Returns the stream of a socket; null once it is detached. */
-  static Stream *streamOf(lws *Wsi);
-
-  Stream &addStream(const Address &Peer);
-
-  /** Hands bytes to the system at once, if none wait; returns how many. */
-  size_t sendNow(const Stream &Target, const std::string &Bytes);
-
-  int accept(lws *Wsi);
-  int receive(lws *Wsi, const char *Data, size_t Length);
-  int write(lws *Wsi);
-  void detach(Stream &Gone);
+  Stream &addStream(StreamId Id);
+  TcpEvents eventsOf(StreamId Id);
+  void accept(int Socket);
+  void receive(StreamId Id, std::string_view Bytes);
+  void onDrained(StreamId Id);
   void drop(StreamId Id);
 
   Task &Owner;
   FrameTransportOptions Options;
   FrameEvents Events;
-  lws_vhost *Vhost = nullptr;
+  std::unique_ptr<TcpListener> Listener;
   std::map<StreamId, std::unique_ptr<Stream>> Streams;
   uint64_t LastStream = 0;
-  uint64_t BytesSent = 0;
-  uint64_t BytesReceived = 0;
 };
 
 } // namespace bluebellbarrow
--- a/src/kernel/httpclient.h
+++ b/src/kernel/httpclient.h
@@ -2,20 +2,19 @@
 #define BLUEBELLBARROW_KERNEL_HTTPCLIENT_H
 
 #include "clock.h"
-#include "error.h"
+#include "endpoint.h"
 #include "httpmessage.h"
-#include "ids.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
-struct lws;
-
 namespace bluebellbarrow {
 
 class Task;
+enum class TcpEnd;
 
 /** How a call ended. */
 enum class CallEnd {
@@ -38,6 +37,9 @@
 
   /** The cause, when End is not Answered. */
   std::string Cause;
+
+  /** True when the call went over a connection that had served another. */
+  bool Reused = false;
 };
 
 /** Where a client connects and what it accepts. */
@@ -47,22 +49,27 @@
   /** Local address to bind; empty for any. */
   Address LocalIp;
 
-  Address Ip;
-  int Port = 0;
+  Endpoint Remote;
 
   /** Calls that may be made at once. */
   size_t Slots = 1;
 
   size_t MaxBodyBytes = 0;
 
-  /** Headers to collect besides those that the library knows. */
-  std::vector<std::string> CustomHeaders;
+  /**
+   * Header that each answer repeats from its request; empty for none. An
+   * answer with another value belongs to another request and is dropped.
+   */
+  std::string EchoedHeader;
+
+  /** Time for which a connection is kept when the server does not say. */
+  Duration IdleTime = seconds(4);
 };
 
 /**
- * HTTP/1.1 client for one server, with a fixed number of slots. A slot has at
- * most one connection, and a connection at most one request; a connection
- * whose call did not end with a whole answer is closed.
+ * HTTP/1.1 client for one server. A connection carries one call at a time; it
+ * is closed for good when its call did not end with a whole answer, when the
+ * answer came before the request was sent, and when unasked bytes come.
  *
  * Thread safety: none; owned by one task.
  */
@@ -82,6 +89,9 @@
 
   size_t slots() const { return this->Slots.size(); }
 
+  /** Raises or lowers the number of slots; running calls go on. */
+  void setSlots(size_t Count);
+
   /**
    * Makes a call; \a OnDone is called once, never within call(). Returns the
    * slot, for cancel(). \pre busy() < slots().
@@ -94,14 +104,26 @@
    */
   void cancel(size_t Slot, const std::string &Cause);
 
-  struct Slot;
+  /** Returns the connections opened so far. */
+  uint64_t opened() const { return this->Opened; }
 
 private:
-  void connect(Slot &Free);
+  struct Slot;
+
+  size_t chooseSlot(TimePoint Now);
+  void connect(size_t Index);
+  void sendRequest(Slot &Target);
+  void receive(size_t Index, std::string_view Bytes);
+  void onEnded(size_t Index, TcpEnd How);
+  void onWhole(Slot &Target);
+  bool isForeign(Slot &Target) const;
+  void fail(size_t Index, const std::string &Cause);
+  static void finish(Slot &Target, const CallResult &Result);
 
   Task &Owner;
   HttpClientOptions Options;
   std::vector<std::unique_ptr<Slot>> Slots;
+  uint64_t Opened = 0;
 };
 
 } // namespace bluebellbarrow
--- a/src/kernel/httpheaders.h
+++ b/src/kernel/httpheaders.h
@@ -1,18 +1,9 @@
 #ifndef BLUEBELLBARROW_KERNEL_HTTPHEADERS_H
 #define BLUEBELLBARROW_KERNEL_HTTPHEADERS_H
 
-#include "httpmessage.h"
-
-#include <span>
-#include <string>
-#include <string_view>
-
-struct lws;
-
-namespace bluebellbarrow {
+namespace bluebellbarrow::header {
 
 /** Names of the headers that the product itself reads and writes. */
-namespace header {
 inline constexpr const char *DeadlineMs = "bluebellbarrow-deadline-ms";
 inline constexpr const char *Depth = "bluebellbarrow-depth";
 inline constexpr const char *Outcome = "bluebellbarrow-outcome";
@@ -22,25 +13,8 @@
 inline constexpr const char *Route = "bluebellbarrow-route";
 inline constexpr const char *IdempotencyKey = "idempotency-key";
 inline constexpr const char *TargetState = "bluebellbarrow-target-state";
-} // namespace header
-
-/**
- * Collects the end-to-end headers that the library has parsed, and of the
- * headers unknown to it those in \a CustomNames.
- *
- * \pre called while the library still holds the headers of \a Wsi.
- */
-HttpHeaders collectHeaders(lws *Wsi, std::span<const std::string> CustomNames);
-
-/** Returns the header names above. Thread safety: safe. */
-std::span<const std::string> productHeaders();
-
-/** Percent-encodes what may not stand in a path or query as it is. */
-std::string percentEncode(std::string_view Text, std::string_view Allowed);
-
-/** Returns the request target of \a Wsi, percent-encoded again. */
-std::string requestTarget(lws *Wsi, std::string_view DecodedPath);
+inline constexpr const char *RetryAfter = "Retry-After";
 
-} // namespace bluebellbarrow
+} // namespace bluebellbarrow::header
 
 #endif // BLUEBELLBARROW_KERNEL_HTTPHEADERS_H
--- a/src/kernel/httpmessage.h
+++ b/src/kernel/httpmessage.h
@@ -7,7 +7,7 @@
 
 namespace bluebellbarrow {
 
-/** One header; the name is in lower case and has no colon. */
+/** One header; its name is kept as it was sent and has no colon. */
 struct HttpHeader {
   std::string Name;
   std::string Value;
@@ -24,7 +24,7 @@
 struct HttpRequest {
   std::string Method;
 
-  /** Path with query, percent-encoded. */
+  /** Path with query, exactly as sent. */
   std::string Target;
 
   HttpHeaders Headers;
@@ -49,20 +49,51 @@
   }
 };
 
-/** Returns the value of header \a Name, or an empty string. */
-inline std::string_view headerValue(const HttpHeaders &Headers,
-                                    std::string_view Name) {
-  for (const HttpHeader &Each : Headers)
-    if (Each.Name == Name)
-      return Each.Value;
-  return {};
-}
+/** Returns whether two header names are the same. Thread safety: safe. */
+bool sameHeaderName(std::string_view A, std::string_view B);
+
+/** Returns the first value of header \a Name, or an empty string. */
+std::string_view headerValue(const HttpHeaders &Headers, std::string_view Name);
+
+/** Returns true when header \a Name is there. Thread safety: safe. */
+bool hasHeader(const HttpHeaders &Headers, std::string_view Name);
+
+/** Replaces every header \a Name by one. */
+void setHeader(HttpHeaders &Headers, const std::string &Name,
+               const std::string &Value);
+
+/** Removes every header \a Name. */
+void removeHeader(HttpHeaders &Headers, std::string_view Name);
+
+/**
+ * Removes the headers that concern one connection only: those of RFC 7230,
+ * section 6.1, those that "Connection" names, and the framing of the body.
+ */
+void removeConnectionHeaders(HttpHeaders &Headers);
+
+/** Returns whether "Connection" holds \a Option. Thread safety: safe. */
+bool connectionHas(const HttpHeaders &Headers, std::string_view Option);
 
 /** Returns the path of a request target, without the query. */
 inline std::string pathOf(const std::string &Target) {
   return Target.substr(0, Target.find('?'));
 }
 
+/** Returns the message as it goes over the wire, with its length. */
+std::string requestBytes(const HttpRequest &Request);
+
+/**
+ * Returns the answer as it goes over the wire, with its length.
+ *
+ * \a ToHead leaves the body out; \a KeepAlive adds what a client of HTTP/1.0
+ * needs to keep the connection.
+ */
+std::string responseBytes(const HttpResponse &Response, bool ToHead,
+                          bool KeepAlive);
+
+/** Returns the usual reason phrase of \a Status. Thread safety: safe. */
+const char *reasonPhrase(int Status);
+
 } // namespace bluebellbarrow
 
 #endif // BLUEBELLBARROW_KERNEL_HTTPMESSAGE_H
--- a/src/kernel/httpserver.cpp
+++ b/src/kernel/httpserver.cpp
@@ -1,264 +1,213 @@
 #include "httpserver.h"
 
-#include "httpheaders.h"
 #include "task.h"
+#include "tcplistener.h"
 
-#include <libwebsockets.h>
-
-#include <array>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
 
 namespace bluebellbarrow {
 
-/** Kept by the library for each connection, in zeroed memory. */
-struct HttpServer::Connection {
-  /** The request being read or answered; 0 for none. */
-  uint64_t Current;
-};
-
-struct HttpServer::Exchange {
-  lws *Wsi = nullptr;
-  HttpRequest Request;
-  HttpResponse Response;
-  bool Whole = false;
-  bool Answered = false;
-};
-
 namespace {
 
-constexpr size_t MaxHeaderBytes = size_t{16} * 1024;
+/** Time between two looks at the clients' time limits. */
+constexpr Duration SweepPeriod = milliseconds(250);
 
-struct MethodToken {
-  lws_token_indexes Token;
-  const char *Name;
-};
+/** Bytes that a client may send ahead while a request is being answered. */
+constexpr size_t MaxAheadBytes = size_t{64} * 1024;
 
-constexpr std::array<MethodToken, 5> Methods = {{
-    {WSI_TOKEN_GET_URI, "GET"},
-    {WSI_TOKEN_POST_URI, "POST"},
-    {WSI_TOKEN_PUT_URI, "PUT"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"},
-    {WSI_TOKEN_DELETE_URI, "DELETE"},
-}};
+constexpr const char *ContinueBytes = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string methodOf(lws *Wsi) {
-  for (const MethodToken &Each : Methods)
-    if (lws_hdr_total_length(Wsi, Each.Token) > 0)
-      return Each.Name;
-  return "";
-}
+constexpr int StatusTimeout = 408;
 
-Address peerOf(lws *Wsi) {
-  std::array<char, 64> Name{};
-  lws_get_peer_simple(Wsi, Name.data(), Name.size());
-  return Address(Name.data());
-}
+} // namespace
 
-int onEvent(lws *Wsi, lws_callback_reasons Reason, void *User, void *In,
-            size_t Length) {
-  lws_vhost *Vhost = lws_get_vhost(Wsi);
-  auto *Server = Vhost == nullptr
-                     ? nullptr
-                     : static_cast<HttpServer *>(lws_vhost_user(Vhost));
-  if (Server == nullptr || User == nullptr)
-    return 0;
-  return Server->handleEvent(Wsi, Reason, User, In, Length);
-}
+/** One connection of a client. */
+struct HttpServer::Client {
+  Client(const HttpLimits &Limits)
+      : Parser(HttpParser::Kind::Request, Limits) {}
 
-const std::array<lws_protocols, 2> Protocols = {{
-    {"http", onEvent, sizeof(uint64_t), 16384, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-}};
+  std::unique_ptr<TcpConnection> Connection;
+  HttpParser Parser;
 
-bool addHeader(lws *Wsi, const HttpHeader &Header, unsigned char **Position,
-               unsigned char *End) {
-  const std::string Name = Header.Name + ":";
-  return lws_add_http_header_by_name(
-             Wsi, reinterpret_cast<const unsigned char *>(Name.c_str()),
-             reinterpret_cast<const unsigned char *>(Header.Value.data()),
-             static_cast<int>(Header.Value.size()), Position, End) == 0;
-}
+  /** The request that is being answered; 0 for none. */
+  ExchangeId Current;
 
-/** Writes status line and headers into \a Buffer; returns the end or null. */
-unsigned char *formatHead(lws *Wsi, const HttpResponse &Response,
-                          unsigned char *Buffer, unsigned char *End) {
-  unsigned char *Position = Buffer;
-  if (lws_add_http_header_status(
-          Wsi, static_cast<unsigned int>(Response.Status), &Position, End) != 0)
-    return nullptr;
-  for (const HttpHeader &Header : Response.Headers)
-    if (!addHeader(Wsi, Header, &Position, End))
-      return nullptr;
-  if (Response.Close &&
-      !addHeader(Wsi, {"connection", "close"}, &Position, End))
-    return nullptr;
-  if (lws_add_http_header_content_length(Wsi, Response.Body.size(), &Position,
-                                         End) != 0 ||
-      lws_finalize_http_header(Wsi, &Position, End) != 0)
-    return nullptr;
-  return Position;
-}
+  /** When the first byte of the current request came. */
+  TimePoint Began;
 
-} // namespace
+  TimePoint LastByte;
+  bool HeadSeen = false;
+};
 
-HttpServer::HttpServer(Task &Owner, HttpServerOptions Options,
+HttpServer::HttpServer(Task &Owner, HttpServerOptions NewOptions,
                        HttpServerEvents Events)
-    : Owner(Owner), Options(std::move(Options)), Events(std::move(Events)) {
-  lws_context_creation_info Info{};
-  Info.port = this->Options.Port;
-  Info.iface = this->Options.Ip.str().c_str();
-  Info.vhost_name = this->Options.Name.c_str();
-  Info.protocols = Protocols.data();
-  Info.user = this;
-  Info.server_string = "bluebellbarrow";
-  Info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
-                 LWS_SERVER_OPTION_DISABLE_IPV6;
-  this->Vhost = lws_create_vhost(Owner.context(), &Info);
+    : Owner(Owner), Options(std::move(NewOptions)), Events(std::move(Events)),
+      Sweep(Owner, [this] { this->sweep(); }) {
+  auto New = std::make_unique<TcpListener>(
+      Owner, this->Options.Local, [this](int Socket) { this->accept(Socket); });
+  if (New->listening())
+    this->Listener = std::move(New);
 }
 
-HttpServer::~HttpServer() {
-  if (this->Vhost != nullptr && !this->Owner.closed())
-    lws_vhost_destroy(this->Vhost);
+HttpServer::~HttpServer() = default;
+
+void HttpServer::setLimits(const HttpServerLimits &New) {
+  this->Options.Limits = New;
+  for (const auto &[Id, Each] : this->Clients)
+    Each->Parser.setLimits(New.Message);
 }
 
-void HttpServer::respond(ExchangeId Id, HttpResponse Response) {
-  const auto Found = this->Exchanges.find(Id);
-  if (Found == this->Exchanges.end())
+void HttpServer::accept(int Socket) {
+  if (this->Clients.size() >= this->Options.MaxConnections) {
+    close(Socket);
+    this->Events.Malformed(makeError(Errc::TooLarge, "accept connection",
+                                     this->Options.Name,
+                                     "too many connections"));
     return;
-  Exchange &Open = *Found->second;
-  Open.Response = std::move(Response);
-  Open.Answered = true;
-  lws_callback_on_writable(Open.Wsi);
+  }
+  if (this->Clients.empty())
+    this->Sweep.start(SweepPeriod);
+  const ClientId Id = ++this->LastClient;
+  auto New = std::make_unique<Client>(this->Options.Limits.Message);
+  New->LastByte = Task::now();
+  New->Connection = std::make_unique<TcpConnection>(
+      this->Owner, Socket,
+      TcpEvents{
+          .Connected = nullptr,
+          .Received =
+              [this, Id](std::string_view Bytes) { this->receive(Id, Bytes); },
+          .Ended = [this, Id](TcpEnd) { this->onEnded(Id); },
+          .Drained = nullptr});
+  this->Clients.emplace(Id, std::move(New));
 }
 
-int HttpServer::begin(lws *Wsi, Connection &Client, const char *Path,
-                      size_t Length) {
-  const int On = 1;
-  setsockopt(lws_get_socket_fd(Wsi), IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  Client.Current = ++this->LastExchange;
-  auto New = std::make_unique<Exchange>();
-  New->Wsi = Wsi;
-  New->Request.Method = methodOf(Wsi);
-  New->Request.Target = requestTarget(Wsi, {Path, Length});
-  New->Request.Headers = collectHeaders(Wsi, this->Options.CustomHeaders);
-  const std::string Method = New->Request.Method;
-  this->Exchanges.emplace(ExchangeId(Client.Current), std::move(New));
-  if (Method.empty())
-    return this->refuse(Wsi, Client, 501, "method is not supported");
-  if (lws_hdr_total_length(Wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0)
-    return this->refuse(Wsi, Client, 411, "request body has no length");
-
-  const bool HasLength =
-      lws_hdr_total_length(Wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0;
-  const bool MayHaveBody = Method != "GET" && Method != "DELETE";
-  if (MayHaveBody && !HasLength)
-    return this->refuse(Wsi, Client, 411, "request body has no length");
-  if (!MayHaveBody)
-    this->finishRequest(Wsi, Client);
-  return 0;
+void HttpServer::receive(ClientId Id, std::string_view Bytes) {
+  Client &From = *this->Clients.at(Id);
+  const TimePoint Now = Task::now();
+  this->LastReceived = Now;
+  From.LastByte = Now;
+  if (!From.Parser.begun())
+    From.Began = Now;
+  From.Parser.feed(Bytes);
+  if (From.Current.value() == 0)
+    this->advance(Id);
+  else if (From.Parser.surplus() > MaxAheadBytes)
+    From.Connection->setReading(false);
 }
 
-int HttpServer::refuse(lws *Wsi, Connection &Client, int Status,
-                       const char *Reason) {
-  this->Events.Malformed(
-      makeError(Errc::BadFrame, "read request", peerOf(Wsi).str(), Reason));
-  lws_set_timeout(Wsi, NO_PENDING_TIMEOUT, 0);
-  this->respond(
-      ExchangeId(Client.Current),
-      {.Status = Status,
-       .Headers = {{header::Outcome, "not-run"}, {header::Reason, Reason}},
-       .Body = std::string(Reason) + "\n",
-       .Close = true});
-  return 0;
+void HttpServer::onHead(Client &From) {
+  From.HeadSeen = true;
+  const std::string_view Expected =
+      headerValue(From.Parser.request().Headers, "expect");
+  if (!From.Parser.whole() && sameHeaderName(Expected, "100-continue"))
+    From.Connection->send(ContinueBytes);
 }
 
-int HttpServer::appendBody(Connection &Client, const char *Data,
-                           size_t Length) {
-  const auto Found = this->Exchanges.find(ExchangeId(Client.Current));
-  if (Found == this->Exchanges.end() || Found->second->Answered)
-    return 0;
-  std::string &Body = Found->second->Request.Body;
-  if (Body.size() + Length > this->Options.MaxBodyBytes)
-    return this->refuse(Found->second->Wsi, Client, 413,
-                        "request body is too large");
-  Body.append(Data, Length);
-  return 0;
+void HttpServer::advance(ClientId Id) {
+  Client &From = *this->Clients.at(Id);
+  const HttpFault Fault = From.Parser.fault();
+  if (Fault != HttpFault::None) {
+    this->refuse(Id, faultStatus(Fault), faultText(Fault));
+    return;
+  }
+  if (From.Parser.headRead() && !From.HeadSeen)
+    this->onHead(From);
+  if (!From.Parser.whole())
+    return;
+  const HttpRequest &Request = From.Parser.request();
+  if (Request.Target.empty() || Request.Target.front() != '/') {
+    this->refuse(Id, faultStatus(HttpFault::BadSyntax),
+                 "the request target is not a path");
+    return;
+  }
+  From.Current = ExchangeId(++this->LastExchange);
+  this->Exchanges.emplace(From.Current, Id);
+  this->Events.Requested(From.Current, Request, From.Connection->remote());
 }
 
-void HttpServer::finishRequest(lws *Wsi, Connection &Client) {
-  const ExchangeId Id(Client.Current);
-  const auto Found = this->Exchanges.find(Id);
-  if (Found == this->Exchanges.end() || Found->second->Answered)
-    return;
-  lws_set_timeout(Wsi, NO_PENDING_TIMEOUT, 0);
-  Found->second->Whole = true;
-  const HttpRequest Request = std::move(Found->second->Request);
-  this->Events.Requested(Id, Request, peerOf(Wsi));
+void HttpServer::refuse(ClientId Id, int Status, const std::string &Reason) {
+  Client &From = *this->Clients.at(Id);
+  this->Events.Malformed(makeError(Errc::BadSyntax, "read request",
+                                   From.Connection->remote().text(), Reason));
+  const HttpResponse Answer{
+      .Status = Status, .Headers = {}, .Body = Reason + "\n", .Close = true};
+  From.Connection->send(responseBytes(Answer, false, false));
+  this->closeAfterAnswer(Id);
 }
 
-int HttpServer::write(lws *Wsi, Connection &Client) {
-  const auto Found = this->Exchanges.find(ExchangeId(Client.Current));
-  if (Found == this->Exchanges.end() || !Found->second->Answered)
-    return 0;
-  const std::unique_ptr<Exchange> Done = std::move(Found->second);
-  this->Exchanges.erase(Found);
-  Client.Current = 0;
+void HttpServer::closeAfterAnswer(ClientId Id) {
+  const auto Found = this->Clients.find(Id);
+  std::unique_ptr<TcpConnection> Closing = std::move(Found->second->Connection);
+  this->Clients.erase(Found);
+  TcpConnection::closeGently(this->Owner, std::move(Closing));
+}
 
-  const HttpResponse &Response = Done->Response;
-  std::string Buffer(LWS_PRE + MaxHeaderBytes, '\0');
-  auto *Start = reinterpret_cast<unsigned char *>(Buffer.data() + LWS_PRE);
-  const unsigned char *End =
-      formatHead(Wsi, Response, Start, Start + MaxHeaderBytes);
-  if (End == nullptr)
-    return -1;
-  const auto HeadBytes = static_cast<size_t>(End - Start);
-  Buffer.resize(LWS_PRE + HeadBytes);
-  Buffer += Response.Body;
-  Start = reinterpret_cast<unsigned char *>(Buffer.data() + LWS_PRE);
-  if (lws_write(Wsi, Start, HeadBytes + Response.Body.size(),
-                LWS_WRITE_HTTP_FINAL) < 0)
-    return -1;
-  if (lws_http_transaction_completed(Wsi) != 0)
-    return -1;
-  return Response.Close ? -1 : 0;
+void HttpServer::respond(ExchangeId Exchange, HttpResponse Response) {
+  const auto Known = this->Exchanges.find(Exchange);
+  if (Known == this->Exchanges.end())
+    return;
+  const ClientId Id = Known->second;
+  this->Exchanges.erase(Known);
+  Client &To = *this->Clients.at(Id);
+  const bool ToHead = To.Parser.request().Method == "HEAD";
+  Response.Close = Response.Close || this->Leaving || !To.Parser.keepsAlive();
+  To.Connection->send(responseBytes(Response, ToHead, To.Parser.isOld()));
+  if (Response.Close) {
+    this->closeAfterAnswer(Id);
+    return;
+  }
+  To.Current = ExchangeId();
+  To.HeadSeen = false;
+  To.LastByte = Task::now();
+  To.Began = To.LastByte;
+  To.Parser.next();
+  To.Connection->setReading(true);
+  if (To.Parser.begun())
+    this->Owner.post([this, Id] {
+      const auto Found = this->Clients.find(Id);
+      if (Found != this->Clients.end() && Found->second->Current.value() == 0)
+        this->advance(Id);
+    });
 }
 
-void HttpServer::abort(Connection &Client) {
-  const ExchangeId Id(Client.Current);
-  const auto Found = this->Exchanges.find(Id);
-  if (Found == this->Exchanges.end())
+void HttpServer::onEnded(ClientId Id) {
+  const auto Found = this->Clients.find(Id);
+  if (Found == this->Clients.end())
     return;
-  const bool Whole = Found->second->Whole;
-  this->Exchanges.erase(Found);
-  Client.Current = 0;
-  if (Whole)
-    this->Events.Aborted(Id);
+  const ExchangeId Current = Found->second->Current;
+  const std::unique_ptr<Client> Gone = std::move(Found->second);
+  this->Clients.erase(Found);
+  if (this->Exchanges.erase(Current) > 0)
+    this->Events.Aborted(Current);
 }
 
-int HttpServer::handleEvent(lws *Wsi, int Reason, void *User, void *In,
-                            size_t Length) {
-  if (this->Owner.closed())
-    return 0;
-  auto &Client = *static_cast<Connection *>(User);
-  const auto *Data = static_cast<const char *>(In);
-  switch (Reason) {
-  case LWS_CALLBACK_HTTP:
-    return this->begin(Wsi, Client, Data, Length);
-  case LWS_CALLBACK_HTTP_BODY:
-    return this->appendBody(Client, Data, Length);
-  case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-    this->finishRequest(Wsi, Client);
-    return 0;
-  case LWS_CALLBACK_HTTP_WRITEABLE:
-    return this->write(Wsi, Client);
-  case LWS_CALLBACK_CLOSED_HTTP:
-    this->abort(Client);
-    return 0;
-  default:
-    return 0;
-  }
+void HttpServer::sweep() {
+  std::vector<ClientId> All;
+  All.reserve(this->Clients.size());
+  for (const auto &[Id, Each] : this->Clients)
+    All.push_back(Id);
+  const TimePoint Now = Task::now();
+  for (const ClientId Id : All)
+    this->checkTime(Id, Now);
+  if (!this->Clients.empty())
+    this->Sweep.start(SweepPeriod);
+}
+
+void HttpServer::checkTime(ClientId Id, TimePoint Now) {
+  const auto Found = this->Clients.find(Id);
+  if (Found == this->Clients.end() || Found->second->Current.value() != 0)
+    return;
+  const Client &Each = *Found->second;
+  const HttpServerLimits &Limits = this->Options.Limits;
+  const bool Begun = Each.Parser.begun();
+  const bool HeadLate =
+      Begun && !Each.Parser.headRead() && Now - Each.Began > Limits.HeaderTime;
+  const bool Idle = Now - Each.LastByte > Limits.IdleTime;
+  if (HeadLate || (Idle && Begun))
+    this->refuse(Id, StatusTimeout, "the request took too long to arrive");
+  else if (Idle)
+    this->closeAfterAnswer(Id);
 }
 
 } // namespace bluebellbarrow
--- a/src/kernel/ids.h
+++ b/src/kernel/ids.h
@@ -59,6 +59,9 @@
 /** Name of a service. */
 using ServiceName = StrongString<struct ServiceNameTag>;
 
+/** Identity of one start of a target, given by the platform. */
+using TargetId = StrongString<struct TargetIdTag>;
+
 /** Name of a route, unique in its service. */
 using RouteName = StrongString<struct RouteNameTag>;
 
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -1,18 +1,26 @@
 #include "log.h"
 
-#include <boost/log/attributes/clock.hpp>
+#include "clock.h"
+#include "logsink.h"
+#include "ratelimit.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/manipulators/add_value.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <nlohmann/json.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 
 #include <array>
-#include <iostream>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <map>
+#include <mutex>
+#include <unistd.h>
 
 namespace bluebellbarrow {
 
@@ -25,78 +33,168 @@
 
 using Logger = logging::sources::severity_logger_mt<int>;
 
-Logger &logger() {
-  static Logger Instance;
-  return Instance;
+/** Hands finished lines to a LogSink. */
+class LineBackend : public logging::sinks::basic_sink_backend<
+                        logging::sinks::combine_requirements<
+                            logging::sinks::synchronized_feeding,
+                            logging::sinks::flushing>::type> {
+public:
+  explicit LineBackend(int Descriptor) : Lines(Descriptor) {}
+
+  void consume(const logging::record_view &Record) {
+    const auto Text = Record[logging::expressions::smessage];
+    if (!Text)
+      return;
+    if (const uint64_t Dropped = this->Lines.takeDropped())
+      this->Lines.add("{\"event\":\"log lines dropped\",\"count\":" +
+                      std::to_string(Dropped) + "}");
+    this->Lines.add(Text.get());
+    if (this->Lines.full())
+      this->Lines.flush();
+  }
+
+  void flush() { this->Lines.flush(); }
+
+private:
+  LogSink Lines;
+};
+
+/** The state of the log; one for the process. */
+struct LogState {
+  LogOptions Options;
+  std::atomic<int> Lowest = static_cast<int>(LogLevel::Info);
+  Logger Source;
+  boost::shared_ptr<logging::sinks::synchronous_sink<LineBackend>> Sink;
+  std::mutex Mutex;
+  std::map<const char *, RateLimit> Limits;
+};
+
+LogState &state() {
+  static LogState Only;
+  return Only;
+}
+
+bool enabled(LogLevel Level) {
+  return static_cast<int>(Level) >= state().Lowest;
 }
 
-std::string attribute(const logging::record_view &Record, const char *Name) {
-  const auto Value = logging::extract<std::string>(Name, Record);
-  return Value ? Value.get() : std::string();
+/** Returns the time of day as in RFC 3339, with microseconds. */
+std::string timestamp() {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  const auto Micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(Now).count();
+  constexpr int64_t MicrosPerSecond = 1000000;
+  const std::time_t Seconds = Micros / MicrosPerSecond;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  std::array<char, 40> Text{};
+  const size_t Length =
+      std::strftime(Text.data(), Text.size(), "%Y-%m-%dT%H:%M:%S", &Parts);
+  std::snprintf(Text.data() + Length, Text.size() - Length, ".%06dZ",
+                static_cast<int>(Micros % MicrosPerSecond));
+  return Text.data();
 }
 
-std::string timestamp(const logging::record_view &Record) {
-  const auto Time =
-      logging::extract<boost::posix_time::ptime>("TimeStamp", Record);
-  return Time ? boost::posix_time::to_iso_extended_string(Time.get()) + "Z"
-              : std::string();
+/** Appends \a Text as the inside of a JSON string. */
+void appendEscaped(std::string &Out, std::string_view Text) {
+  for (const char Each : Text) {
+    const auto Byte = static_cast<unsigned char>(Each);
+    if (Each == '"' || Each == '\\') {
+      Out += '\\';
+      Out += Each;
+    } else if (Byte < 0x20 || Byte >= 0x7f) {
+      std::array<char, 8> Code{};
+      std::snprintf(Code.data(), Code.size(), "\\u%04x", Byte);
+      Out += Code.data();
+    } else {
+      Out += Each;
+    }
+  }
 }
 
-const char *levelName(const logging::record_view &Record) {
-  const auto Level = logging::extract<int>("Severity", Record);
-  return Level ? LevelNames.at(static_cast<size_t>(Level.get())) : "info";
+void appendNumber(std::string &Out, double Value) {
+  std::array<char, 32> Text{};
+  const bool Whole = std::floor(Value) == Value && std::abs(Value) < 1e15;
+  std::snprintf(Text.data(), Text.size(), Whole ? "%.0f" : "%.6g", Value);
+  Out += Text.data();
 }
 
-constexpr std::array<const char *, 4> AttributeNames = {"step", "peer",
-                                                        "version", "request"};
+/** Builds one line, as JSON or as plain text. */
+class LineBuilder {
+public:
+  LineBuilder(LogLevel Level, bool Json) : Json(Json) {
+    const char *Name = LevelNames.at(static_cast<size_t>(Level));
+    if (Json)
+      this->Line =
+          "{\"time\":\"" + timestamp() + "\",\"level\":\"" + Name + "\"";
+    else
+      this->Line = timestamp() + " " + Name;
+  }
 
-void formatText(const logging::record_view &Record,
-                logging::formatting_ostream &Out) {
-  Out << timestamp(Record) << ' ' << levelName(Record);
-  for (const char *Name : AttributeNames) {
-    const std::string Value = attribute(Record, Name);
-    if (!Value.empty())
-      Out << ' ' << Name << "=\"" << Value << '"';
+  void add(const LogField &Field) {
+    this->Line += this->Json ? ",\"" : " ";
+    this->Line += Field.name();
+    this->Line += this->Json ? "\":" : "=";
+    if (Field.isNumber()) {
+      appendNumber(this->Line, Field.value());
+      return;
+    }
+    this->Line += '"';
+    appendEscaped(this->Line, Field.text());
+    this->Line += '"';
   }
-  Out << " \"" << Record[logging::expressions::smessage] << '"';
-}
 
-void formatJson(const logging::record_view &Record,
-                logging::formatting_ostream &Out) {
-  nlohmann::json Line = {{"time", timestamp(Record)},
-                         {"level", levelName(Record)}};
-  for (const char *Name : AttributeNames) {
-    const std::string Value = attribute(Record, Name);
-    if (!Value.empty())
-      Line[Name] = Value;
+  std::string finish() {
+    if (this->Json)
+      this->Line += '}';
+    return std::move(this->Line);
   }
-  const auto Text = Record[logging::expressions::smessage];
-  Line["text"] = Text ? Text.get() : std::string();
-  Out << Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+
+private:
+  std::string Line;
+  bool Json;
+};
+
+void write(LogLevel Level, const std::string &Line) {
+  BOOST_LOG_SEV(state().Source, static_cast<int>(Level)) << Line;
+  if (Level >= LogLevel::Warning)
+    flushLog();
 }
 
 } // namespace
 
 void initLog(const LogOptions &Options) {
-  const auto Sink = logging::add_console_log(std::clog);
-  Sink->set_formatter(Options.Json ? &formatJson : &formatText);
-  Sink->locked_backend()->auto_flush(true);
-  logging::core::get()->add_global_attribute("TimeStamp",
-                                             logging::attributes::utc_clock());
-  const int Lowest = static_cast<int>(Options.Level);
-  logging::core::get()->set_filter(
-      logging::expressions::attr<int>("Severity") >= Lowest);
+  LogState &Log = state();
+  Log.Options = Options;
+  setLogLevel(Options.Level);
+  const int Descriptor =
+      Options.ToStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+  Log.Sink = boost::make_shared<logging::sinks::synchronous_sink<LineBackend>>(
+      boost::make_shared<LineBackend>(Descriptor));
+  logging::core::get()->add_sink(Log.Sink);
+}
+
+void setLogLevel(LogLevel Level) { state().Lowest = static_cast<int>(Level); }
+
+void flushLog() {
+  if (state().Sink != nullptr)
+    state().Sink->flush();
 }
 
 void logRecord(LogLevel Level, const LogContext &Context,
                const std::string &Text) {
-  const std::string Request =
-      Context.Request == 0 ? "" : std::to_string(Context.Request);
-  BOOST_LOG_SEV(logger(), static_cast<int>(Level))
-      << logging::add_value("step", Context.Step)
-      << logging::add_value("peer", Context.Peer)
-      << logging::add_value("version", Context.Version)
-      << logging::add_value("request", Request) << Text;
+  if (!enabled(Level))
+    return;
+  LineBuilder Line(Level, state().Options.Json);
+  const std::array<LogField, 4> Fields = {{{"step", Context.Step},
+                                           {"peer", Context.Peer},
+                                           {"version", Context.Version},
+                                           {"request", Context.Request}}};
+  for (const LogField &Each : Fields)
+    if (!Each.text().empty())
+      Line.add(Each);
+  Line.add({"text", Text});
+  write(Level, Line.finish());
 }
 
 void logError(LogLevel Level, const Error &Failure) {
@@ -105,4 +203,29 @@
                 (Failure.Detail.empty() ? "" : ": " + Failure.Detail));
 }
 
+void logEvent(LogLevel Level, const char *Event,
+              std::initializer_list<LogField> Fields) {
+  if (!enabled(Level))
+    return;
+  LogState &Log = state();
+  const TimePoint Now = std::chrono::steady_clock::now();
+  uint64_t Suppressed = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(Log.Mutex);
+    RateLimit &Limit =
+        Log.Limits.try_emplace(Event, Log.Options.EventsPerSecond, Now)
+            .first->second;
+    if (!Limit.allow(Now))
+      return;
+    Suppressed = Limit.takeSuppressed();
+  }
+  LineBuilder Line(Level, Log.Options.Json);
+  Line.add({"event", Event});
+  for (const LogField &Each : Fields)
+    Line.add(Each);
+  if (Suppressed > 0)
+    Line.add({"suppressed", Suppressed});
+  write(Level, Line.finish());
+}
+
 } // namespace bluebellbarrow
--- a/src/kernel/nodesettings.cpp
+++ b/src/kernel/nodesettings.cpp
@@ -2,9 +2,10 @@
 
 #include "inifile.h"
 
-#include <arpa/inet.h>
+#include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <sstream>
 
 namespace bluebellbarrow {
@@ -14,21 +15,28 @@
 constexpr double MaxPort = 65535;
 constexpr double Second = 1e6;
 
-const std::array<KeySpec, 22> Keys = {{
+const std::array<KeySpec, 26> Keys = {{
     {"node", "mesh", KeyType::Text, 1, 63, "", "name of the mesh"},
     {"node", "name", KeyType::Text, 1, 63, "", "name of the VM"},
     {"node", "address", KeyType::Text, 1, 63, "", "IP number of the VM"},
     {"node", "domain", KeyType::Text, 1, 63, "", "failure domain of the VM"},
     {"node", "service", KeyType::Text, 1, 63, "", "service of the target"},
-    {"platform", "address", KeyType::Text, 1, 63, "", "IP number"},
+    {"node", "threads", KeyType::Count, 1, 3, "1",
+     "1: all tasks share one thread; 3: each has its own"},
+    {"platform", "protocol", KeyType::Text, 1, 32, "published",
+     "how the platform is read and targets are spoken to"},
+    {"platform", "address", KeyType::Text, 1, 63, "",
+     "IP number, with or "
+     "without ':PORT'"},
     {"platform", "port", KeyType::Count, 1, MaxPort, "8500", "TCP port"},
-    {"target", "address", KeyType::Text, 1, 63, "127.0.0.1", "IP number"},
+    {"target", "address", KeyType::Text, 1, 63, "127.0.0.1",
+     "IP number, with or without ':PORT'"},
     {"target", "port", KeyType::Count, 1, MaxPort, "8080", "TCP port"},
     {"target", "health", KeyType::Text, 1, 150, "/health", "path to probe"},
     {"target", "forward-headers", KeyType::Text, 0, 190, "",
-     "headers to hand on besides the usual ones, with commas"},
-    {"listen", "callers", KeyType::Count, 1, MaxPort, "15001",
-     "TCP port for callers"},
+     "without effect: every header is handed on"},
+    {"listen", "callers", KeyType::Text, 1, 63, "15001",
+     "TCP port for callers, with or without 'IP:'"},
     {"listen", "peers", KeyType::Count, 1, MaxPort, "15002",
      "TCP port for calls from other nodes"},
     {"listen", "control", KeyType::Count, 1, MaxPort, "15003",
@@ -37,6 +45,8 @@
      "TCP port for operators"},
     {"listen", "admin-address", KeyType::Text, 1, 63, "127.0.0.1",
      "IP number for operators"},
+    {"listen", "ready", KeyType::Text, 0, 63, "",
+     "IP:PORT that also answers /ready; empty for none"},
     {"start", "seeds", KeyType::Text, 0, 190, "",
      "IP numbers of nodes to ask first, with commas"},
     {"start", "silence", KeyType::Span, 0, 60 * Second, "1 s",
@@ -48,6 +58,7 @@
     {"log", "level", KeyType::Text, 1, 10, "info",
      "debug, info, warning or error"},
     {"log", "json", KeyType::Flag, 0, 1, "no", "one JSON object a line"},
+    {"log", "output", KeyType::Text, 1, 10, "stderr", "stderr or stdout"},
 }};
 
 /** A value as written, and in the base unit of its type. */
@@ -62,6 +73,12 @@
   return std::string(Spec.Section) + "/" + Spec.Key;
 }
 
+bool isOwn(const KeySpec &Spec) {
+  return std::any_of(Keys.begin(), Keys.end(), [&Spec](const KeySpec &Each) {
+    return idOf(Each) == idOf(Spec);
+  });
+}
+
 std::vector<std::string> splitList(const std::string &Text) {
   std::vector<std::string> Items;
   std::istringstream Stream(Text);
@@ -73,28 +90,62 @@
   return Items;
 }
 
-bool isIp(const std::string &Text) {
-  in_addr Parsed{};
-  return inet_pton(AF_INET, Text.c_str(), &Parsed) == 1;
+/** Returns the IP numbers of a list of "IP" or "IP:PORT". */
+Result<std::vector<Address>> parseSeeds(const std::string &Text) {
+  std::vector<Address> Seeds;
+  for (const std::string &Each : splitList(Text)) {
+    const Result<Endpoint> Parsed = parseEndpoint(Each, 1);
+    if (!Parsed)
+      return Parsed.error();
+    Seeds.push_back(Parsed.value().Ip);
+  }
+  return Seeds;
+}
+
+Result<std::monostate> checkEndpoint(const std::string &Text) {
+  const Result<Endpoint> Parsed = parseEndpoint(Text, 1);
+  if (!Parsed)
+    return Parsed.error();
+  return std::monostate();
+}
+
+/** Reads "PORT" or "IP:PORT". */
+Result<Endpoint> parseListener(const std::string &Text, const Address &Ip) {
+  constexpr KeySpec Port{"listen", "callers", KeyType::Count, 1, MaxPort,
+                         "",       ""};
+  if (Text.find(':') != std::string::npos)
+    return parseEndpoint(Text, 1);
+  const Result<double> Number = parseValue(Port, Text);
+  if (!Number)
+    return Number.error();
+  return Endpoint{.Ip = Ip, .Port = static_cast<int>(Number.value())};
 }
 
 Result<std::monostate> checkText(const KeySpec &Spec, const IniEntry &Entry) {
   const std::string Key = Spec.Key;
-  std::vector<std::string> Addresses;
   if (Key == "address" || Key == "admin-address")
-    Addresses = {Entry.Value};
-  if (Key == "seeds")
-    Addresses = splitList(Entry.Value);
-  for (const std::string &Each : Addresses)
-    if (!isIp(Each))
-      return makeError(Errc::BadValue, "", "",
-                       "'" + Each + "' is not an IPv4 number");
-  static const std::map<std::string, int> Levels = {
-      {"debug", 0}, {"info", 1}, {"warning", 2}, {"error", 3}};
+    return checkEndpoint(Entry.Value);
+  if (Key == "ready" && !Entry.Value.empty())
+    return checkEndpoint(Entry.Value);
+  if (Key == "seeds") {
+    const auto Seeds = parseSeeds(Entry.Value);
+    if (!Seeds)
+      return Seeds.error();
+  }
+  if (Key == "callers") {
+    const auto Parsed = parseListener(Entry.Value, Address("0.0.0.0"));
+    if (!Parsed)
+      return Parsed.error();
+  }
+  static const std::set<std::string> Levels = {"debug", "info", "warning",
+                                               "error"};
   if (Key == "level" && !Levels.contains(Entry.Value))
     return makeError(Errc::BadValue, "", "",
                      "'" + Entry.Value +
                          "' is not debug, info, warning or error");
+  if (Key == "output" && Entry.Value != "stderr" && Entry.Value != "stdout")
+    return makeError(Errc::BadValue, "", "",
+                     "'" + Entry.Value + "' is not stderr or stdout");
   return std::monostate();
 }
 
@@ -114,31 +165,36 @@
   const auto Span = [&From](const char *Id) {
     return microseconds(static_cast<int64_t>(From[Id].Base));
   };
-  NodeSettings Settings{.Mesh = Text("node/mesh"),
-                        .Name = VmName(Text("node/name")),
-                        .Ip = Address(Text("node/address")),
-                        .Domain = FailureDomain(Text("node/domain")),
-                        .Service = ServiceName(Text("node/service")),
-                        .PlatformIp = Address(Text("platform/address")),
-                        .PlatformPort = Port("platform/port"),
-                        .TargetIp = Address(Text("target/address")),
-                        .TargetPort = Port("target/port"),
-                        .HealthPath = Text("target/health"),
-                        .ForwardHeaders =
-                            splitList(Text("target/forward-headers")),
-                        .CallerPort = Port("listen/callers"),
-                        .PeerPort = Port("listen/peers"),
-                        .ControlPort = Port("listen/control"),
-                        .AdminIp = Address(Text("listen/admin-address")),
-                        .AdminPort = Port("listen/admin"),
-                        .Seeds = {},
-                        .BootSilence = Span("start/silence"),
-                        .LeaveTime = Span("stop/leave-time"),
-                        .StopLimit = Span("stop/limit"),
-                        .Log = {.Level = levelOf(Text("log/level")),
-                                .Json = From["log/json"].Base != 0}};
-  for (const std::string &Ip : splitList(Text("start/seeds")))
-    Settings.Seeds.emplace_back(Ip);
+  const auto Place = [&](const char *Id, const char *PortId) {
+    return parseEndpoint(Text(Id), Port(PortId)).value();
+  };
+  const Address Ip(Text("node/address"));
+  NodeSettings Settings{
+      .Mesh = Text("node/mesh"),
+      .Name = VmName(Text("node/name")),
+      .Ip = Ip,
+      .Domain = FailureDomain(Text("node/domain")),
+      .Service = ServiceName(Text("node/service")),
+      .Threads = Port("node/threads"),
+      .PlatformProtocol = Text("platform/protocol"),
+      .Platform = Place("platform/address", "platform/port"),
+      .Target = Place("target/address", "target/port"),
+      .HealthPath = Text("target/health"),
+      .Callers = parseListener(Text("listen/callers"), Ip).value(),
+      .PeerPort = Port("listen/peers"),
+      .ControlPort = Port("listen/control"),
+      .Admin = {.Ip = Address(Text("listen/admin-address")),
+                .Port = Port("listen/admin")},
+      .Ready = std::nullopt,
+      .Seeds = parseSeeds(Text("start/seeds")).value(),
+      .BootSilence = Span("start/silence"),
+      .LeaveTime = Span("stop/leave-time"),
+      .StopLimit = Span("stop/limit"),
+      .Log = {.Level = levelOf(Text("log/level")),
+              .Json = From["log/json"].Base != 0,
+              .ToStandardOutput = Text("log/output") == "stdout"}};
+  if (!Text("listen/ready").empty())
+    Settings.Ready = parseEndpoint(Text("listen/ready"), 1).value();
   return Settings;
 }
 
@@ -147,7 +203,8 @@
 std::span<const KeySpec> nodeSettingsKeys() { return Keys; }
 
 Result<NodeSettings> parseNodeSettings(const std::string &Name,
-                                       const std::string &Text) {
+                                       const std::string &Text,
+                                       std::span<const KeySpec> Extra) {
   const Result<IniFile> File = parseIni(Name, Text);
   if (!File)
     return File.error();
@@ -158,10 +215,20 @@
     if (Base)
       Found[idOf(Spec)] = {.Text = Default, .Base = Base.value()};
   }
+  std::vector<KeySpec> Allowed(Keys.begin(), Keys.end());
+  Allowed.insert(Allowed.end(), Extra.begin(), Extra.end());
+  std::vector<SettingsOverride> Overrides;
   const auto Checked =
-      checkEntries(File.value(), Keys,
-                   [&Found](const KeySpec &Spec, const IniEntry &Entry,
-                            double Base) -> Result<std::monostate> {
+      checkEntries(File.value(), Allowed,
+                   [&](const KeySpec &Spec, const IniEntry &Entry,
+                       double Base) -> Result<std::monostate> {
+                     if (!isOwn(Spec)) {
+                       Overrides.push_back({.Section = Spec.Section,
+                                            .Key = Spec.Key,
+                                            .Text = Entry.Value,
+                                            .Base = Base});
+                       return std::monostate();
+                     }
                      Found[idOf(Spec)] = {.Text = Entry.Value, .Base = Base};
                      return checkText(Spec, Entry);
                    });
@@ -172,14 +239,17 @@
       return makeError(Errc::Incomplete, Name, "",
                        "[" + std::string(Spec.Section) + "] has no key '" +
                            Spec.Key + "'");
-  return fromValues(Found);
+  NodeSettings Settings = fromValues(Found);
+  Settings.Overrides = std::move(Overrides);
+  return Settings;
 }
 
-Result<NodeSettings> readNodeSettings(const std::string &Path) {
+Result<NodeSettings> readNodeSettings(const std::string &Path,
+                                      std::span<const KeySpec> Extra) {
   const Result<std::string> Text = readFile(Path);
   if (!Text)
     return Text.error();
-  return parseNodeSettings(Path, Text.value());
+  return parseNodeSettings(Path, Text.value(), Extra);
 }
 
 } // namespace bluebellbarrow
--- a/src/kernel/nodesettings.h
+++ b/src/kernel/nodesettings.h
@@ -2,17 +2,29 @@
 #define BLUEBELLBARROW_KERNEL_NODESETTINGS_H
 
 #include "clock.h"
+#include "endpoint.h"
 #include "error.h"
 #include "ids.h"
 #include "log.h"
 #include "schema.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
 namespace bluebellbarrow {
 
+/** A value of a key that other parts of the program know. */
+struct SettingsOverride {
+  std::string Section;
+  std::string Key;
+  std::string Text;
+
+  /** The value in the base unit of its type. */
+  double Base = 0;
+};
+
 /** Settings of one process, from its INI file. */
 struct NodeSettings {
   std::string Mesh;
@@ -21,21 +33,22 @@
   FailureDomain Domain;
   ServiceName Service;
 
-  Address PlatformIp;
-  int PlatformPort = 0;
-
-  Address TargetIp;
-  int TargetPort = 0;
-  std::string HealthPath;
+  /** Threads that the node's tasks share: 1, or one for each. */
+  int Threads = 1;
 
-  /** Extra headers that are handed on in both directions. */
-  std::vector<std::string> ForwardHeaders;
+  /** Name of the adapter that reads the platform. */
+  std::string PlatformProtocol;
 
-  int CallerPort = 0;
+  Endpoint Platform;
+  Endpoint Target;
+  std::string HealthPath;
+  Endpoint Callers;
   int PeerPort = 0;
   int ControlPort = 0;
-  Address AdminIp;
-  int AdminPort = 0;
+  Endpoint Admin;
+
+  /** A second place that answers whether the node is ready. */
+  std::optional<Endpoint> Ready;
 
   std::vector<Address> Seeds;
   Duration BootSilence{};
@@ -47,22 +60,27 @@
   Duration StopLimit{};
 
   LogOptions Log;
+
+  /** Values of the sections that the caller of readNodeSettings() named. */
+  std::vector<SettingsOverride> Overrides;
 };
 
 /** Returns every key of the file. Thread safety: safe. */
 std::span<const KeySpec> nodeSettingsKeys();
 
 /**
- * Reads and checks the file \a Path.
+ * Reads and checks the file \a Path. Keys of \a Extra may stand there too.
  *
  * Errors: unknown key, wrong unit, duplicate, out of range or missing, with
  * file, line and key. Thread safety: safe.
  */
-Result<NodeSettings> readNodeSettings(const std::string &Path);
+Result<NodeSettings> readNodeSettings(const std::string &Path,
+                                      std::span<const KeySpec> Extra = {});
 
 /** As readNodeSettings(), from a text. */
 Result<NodeSettings> parseNodeSettings(const std::string &Name,
-                                       const std::string &Text);
+                                       const std::string &Text,
+                                       std::span<const KeySpec> Extra = {});
 
 } // namespace bluebellbarrow
 
--- /dev/null
+++ b/src/kernel/ratelimit.h
@@ -0,0 +1,53 @@
+#ifndef BLUEBELLBARROW_KERNEL_RATELIMIT_H
+#define BLUEBELLBARROW_KERNEL_RATELIMIT_H
+
+#include "clock.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace bluebellbarrow {
+
+/**
+ * Lets so many events pass in a second and counts the others. A token bucket
+ * that holds one second's worth.
+ *
+ * Thread safety: none.
+ */
+class RateLimit {
+public:
+  /** \pre \a PerSecond is above 0. */
+  RateLimit(double PerSecond, TimePoint Now)
+      : PerSecond(PerSecond), Tokens(PerSecond), Last(Now) {}
+
+  /** Returns true when the event may pass. */
+  bool allow(TimePoint Now) {
+    const std::chrono::duration<double> Elapsed = Now - this->Last;
+    this->Last = Now;
+    this->Tokens = std::min(this->PerSecond,
+                            this->Tokens + Elapsed.count() * this->PerSecond);
+    if (this->Tokens < 1) {
+      this->Suppressed += 1;
+      return false;
+    }
+    this->Tokens -= 1;
+    return true;
+  }
+
+  /** Returns the events held back since the last call. */
+  uint64_t takeSuppressed() {
+    const uint64_t Count = this->Suppressed;
+    this->Suppressed = 0;
+    return Count;
+  }
+
+private:
+  double PerSecond;
+  double Tokens;
+  TimePoint Last;
+  uint64_t Suppressed = 0;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_KERNEL_RATELIMIT_H
--- /dev/null
+++ b/src/kernel/signalwatch.cpp
@@ -0,0 +1,50 @@
+#include "signalwatch.h"
+
+#include "descriptor.h"
+#include "task.h"
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace bluebellbarrow {
+
+namespace {
+
+sigset_t toSet(std::initializer_list<int> Signals) {
+  sigset_t Set;
+  sigemptyset(&Set);
+  for (const int Each : Signals)
+    sigaddset(&Set, Each);
+  return Set;
+}
+
+} // namespace
+
+void SignalWatch::block(std::initializer_list<int> Signals) {
+  const sigset_t Set = toSet(Signals);
+  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+SignalWatch::SignalWatch(Task &Owner, std::initializer_list<int> Signals,
+                         std::function<void(int)> OnSignal)
+    : OnSignal(std::move(OnSignal)) {
+  const sigset_t Set = toSet(Signals);
+  this->Source = std::make_unique<Descriptor>(
+      Owner, signalfd(-1, &Set, SFD_NONBLOCK | SFD_CLOEXEC),
+      DescriptorEvents{.Readable = [this] { this->onReadable(); },
+                       .Writable = nullptr,
+                       .HungUp = nullptr});
+}
+
+SignalWatch::~SignalWatch() = default;
+
+void SignalWatch::onReadable() {
+  signalfd_siginfo Info{};
+  while (read(this->Source->number(), &Info, sizeof(Info)) ==
+         static_cast<ssize_t>(sizeof(Info)))
+    this->OnSignal(static_cast<int>(Info.ssi_signo));
+}
+
+} // namespace bluebellbarrow
--- a/src/kernel/task.cpp
+++ b/src/kernel/task.cpp
@@ -1,5 +1,6 @@
 #include "task.h"
 
+#include "descriptor.h"
 #include "log.h"
 
 #include <libwebsockets.h>
@@ -11,12 +12,6 @@
 
 namespace {
 
-/** Largest head of a request or an answer. */
-constexpr int HeaderBytes = 16 * 1024;
-
-/** Seconds an accepted HTTP connection may stay idle. */
-constexpr int KeepAliveSeconds = 75;
-
 void forwardLog(int Level, const char *Line) {
   std::string Text(Line);
   while (!Text.empty() && Text.back() == '\n')
@@ -33,11 +28,10 @@
   Info.port = CONTEXT_PORT_NO_LISTEN;
   Info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
   Info.fd_limit_per_thread = this->Options.MaxSockets;
-  Info.max_http_header_data2 = HeaderBytes;
-  Info.max_http_header_pool2 = this->Options.MaxSockets;
-  Info.keepalive_timeout = KeepAliveSeconds;
-  Info.timeout_secs = KeepAliveSeconds;
   this->Context = lws_create_context(&Info);
+  Info.vhost_name = "descriptors";
+  Info.protocols = Descriptor::protocols();
+  this->Vhost = lws_create_vhost(this->Context, &Info);
   this->Timers = std::make_unique<TimerQueue>(*this);
 }
 
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 struct lws_context;
+struct lws_vhost;
 
 namespace bluebellbarrow {
 
@@ -31,8 +32,8 @@
  * A thread with an event loop that owns sockets and state. Other tasks reach
  * it only by post().
  *
- * Thread safety: post(), stop() and isCurrent() may be called from any thread,
- * everything else from the thread that runs the loop or before it runs.
+ * Thread safety: post() and stop() may be called from any thread, everything
+ * else from the thread that runs the loop or before it runs.
  */
 class Task {
 public:
@@ -48,8 +49,8 @@
    */
   bool closed() const { return this->Closed; }
 
-  /** Returns the event loop's context. */
-  lws_context *context() const { return this->Context; }
+  /** Returns the library's record that holds the descriptors. */
+  lws_vhost *vhost() const { return this->Vhost; }
 
   /** Returns the current time. */
   static TimePoint now() { return std::chrono::steady_clock::now(); }
@@ -77,6 +78,7 @@
 
   TaskOptions Options;
   lws_context *Context = nullptr;
+  lws_vhost *Vhost = nullptr;
   std::unique_ptr<TimerQueue> Timers;
   std::thread Thread;
 
--- a/src/kernel/timer.h
+++ b/src/kernel/timer.h
@@ -8,11 +8,9 @@
 #include <memory>
 #include <utility>
 
-struct lws;
-struct lws_vhost;
-
 namespace bluebellbarrow {
 
+class Descriptor;
 class Task;
 
 /**
@@ -39,17 +37,13 @@
   /** Forgets a timer; does nothing when it has fired. */
   void remove(const Id &Timer);
 
-  /** Calls what is due; not for other callers. */
-  void fire();
-
 private:
   void arm();
+  void fire();
 
-  Task &Owner;
   std::map<Id, std::function<void()>> Waiting;
   uint64_t LastNumber = 0;
-  int Descriptor = -1;
-  lws_vhost *Vhost = nullptr;
+  std::unique_ptr<Descriptor> Clock;
 
   /** Time for which the descriptor is set. */
   TimePoint Armed = TimePoint::max();
--- a/src/plugins/admission/admission.cpp
+++ b/src/plugins/admission/admission.cpp
@@ -9,8 +9,14 @@
 /** Longer than the longest deadline that a tree may set. */
 constexpr Duration SeenMemory = seconds(90);
 
-/** Weight of the newest run in the mean. */
-constexpr double RunWeight = 0.1;
+/** Share of the usual time that a request is expected to run at least on. */
+constexpr double LeastRemaining = 0.2;
+
+/** Share of its time left that a request may wait to be answered late. */
+constexpr double LateWaitShare = 0.33;
+
+/** Least share of the slots that a forecast leaves to a rank. */
+constexpr double LeastShare = 0.05;
 
 } // namespace
 
@@ -22,21 +28,61 @@
          this->Running.size() < this->Limits.Slots;
 }
 
-bool Admission::tooLate(TimePoint Deadline, size_t Ahead, TimePoint Now) const {
-  const double Rounds =
-      static_cast<double>(Ahead + 1) / static_cast<double>(this->Limits.Slots);
-  const std::chrono::duration<double> Wait(Rounds * this->MeanRun);
-  return Now + std::chrono::duration_cast<Duration>(Wait) >= Deadline;
+Duration Admission::startOf(const WaitingRequest *Request,
+                            TimePoint Now) const {
+  if (this->Limits.Slots == 0)
+    return Duration::max();
+  std::vector<Duration> Free;
+  for (const Started &Each : this->Running) {
+    const Duration Usual = this->Work.of(Each.Route);
+    const auto Least =
+        std::chrono::duration_cast<Duration>(Usual * LeastRemaining);
+    Free.push_back(std::max<Duration>(Usual - (Now - Each.Time), Least));
+  }
+  while (Free.size() < this->Limits.Slots)
+    Free.push_back(Duration::zero());
+  for (const Duration Work : this->Line.workAhead(Request, Now))
+    *std::min_element(Free.begin(), Free.end()) += Work;
+  return *std::min_element(Free.begin(), Free.end());
+}
+
+Duration Admission::expectedWait(const WaitingRequest &Request,
+                                 TimePoint Now) const {
+  const Duration Start = this->startOf(&Request, Now);
+  const double OvertakenShare =
+      this->Overtaking.rateBefore(Request.Priority, Request.late(Now), Now) /
+      static_cast<double>(std::max<size_t>(1, this->Limits.Slots));
+  return std::chrono::duration_cast<Duration>(
+      Start / std::max(LeastShare, 1 - OvertakenShare));
+}
+
+Duration Admission::lastWait(TimePoint Now) const {
+  if (this->Line.empty() && this->Running.size() < this->Limits.Slots)
+    return Duration::zero();
+  return this->startOf(nullptr, Now);
 }
 
 AdmitResult Admission::refuse(const RequestKey &Key, const std::string &Reason,
-                              TimePoint Now) {
+                              Duration RetryAfter, TimePoint Now) {
   this->Seen.set(Key, SeenState::NotRun, Now);
-  return {.What = Admitted::Refuse, .Reason = Reason};
+  return {.What = Admitted::Refuse, .Reason = Reason, .RetryAfter = RetryAfter};
 }
 
-AdmitResult Admission::admit(const RequestKey &Key, TimePoint Deadline,
-                             TimePoint Now) {
+AdmitResult Admission::judgeWait(const WaitingRequest &Request, TimePoint Now) {
+  const Duration Wait = this->expectedWait(Request, Now);
+  if (this->Line.size() >= this->Limits.Queue)
+    return this->refuse(Request.Key, "queue is full", Wait, Now);
+  const auto Longest = std::chrono::duration_cast<Duration>(
+      (Request.Deadline - Now - Request.Work) * LateWaitShare);
+  const bool InTime = Now + Wait + Request.Work <= Request.Aim;
+  if (InTime || Wait <= Longest)
+    return {.What = Admitted::Queue, .Reason = {}};
+  return this->refuse(Request.Key, "would wait too long",
+                      Wait - std::max(Longest, Duration::zero()), Now);
+}
+
+AdmitResult Admission::admit(const AdmissionRequest &Request, TimePoint Now) {
+  const RequestKey &Key = Request.Key;
   this->Seen.expire(Now);
   const std::optional<SeenState> Known = this->Seen.find(Key);
   if (Known == SeenState::NotRun)
@@ -44,24 +90,34 @@
   if (Known)
     return {.What = Admitted::Refuse, .Reason = "seen", .Duplicate = true};
   if (this->Draining)
-    return this->refuse(Key, "target is draining", Now);
-  if (Now >= Deadline)
-    return this->refuse(Key, "deadline is over", Now);
-  if (this->Waiting.empty() && this->maySlot(Now)) {
-    this->start(Key, Now);
+    return this->refuse(Key, "target is draining", Duration::zero(), Now);
+  if (Now >= Request.Deadline)
+    return this->refuse(Key, "deadline is over", Duration::zero(), Now);
+  const Duration Work = this->Work.of(Request.Route);
+  if (this->Line.empty() && this->maySlot(Now)) {
+    this->Overtaking.add(Request.Priority, Work, Now);
+    this->start(Key, Request.Route, Now);
     return {.What = Admitted::Start, .Reason = {}};
   }
-  if (this->Waiting.size() >= this->Limits.Queue)
-    return this->refuse(Key, "queue is full", Now);
-  if (this->tooLate(Deadline, this->Waiting.size(), Now))
-    return this->refuse(Key, "would wait past the deadline", Now);
-  this->Waiting.push_back({.Key = Key, .Deadline = Deadline});
+  WaitingRequest Waiting{.Key = Key,
+                         .Route = Request.Route,
+                         .Priority = Request.Priority,
+                         .Aim = Request.Aim,
+                         .Deadline = Request.Deadline,
+                         .Work = Work};
+  AdmitResult Result = this->judgeWait(Waiting, Now);
+  if (Result.What != Admitted::Queue)
+    return Result;
+  if (!Waiting.late(Now))
+    this->Overtaking.add(Request.Priority, Work, Now);
+  this->Line.add(std::move(Waiting));
   this->Seen.set(Key, SeenState::Queued, Now);
-  return {.What = Admitted::Queue, .Reason = {}};
+  return Result;
 }
 
-void Admission::start(const RequestKey &Key, TimePoint Now) {
-  this->Running.push_back({.Key = Key, .Time = Now});
+void Admission::start(const RequestKey &Key, const RouteName &Route,
+                      TimePoint Now) {
+  this->Running.push_back({.Key = Key, .Route = Route, .Time = Now});
   this->Seen.set(Key, SeenState::Running, Now);
 }
 
@@ -71,8 +127,7 @@
                    [&Key](const Started &Each) { return Each.Key == Key; });
   if (Found == this->Running.end())
     return;
-  const std::chrono::duration<double> Run = Now - Found->Time;
-  this->MeanRun += RunWeight * (Run.count() - this->MeanRun);
+  this->Work.add(Found->Route, Now - Found->Time);
   this->Running.erase(Found);
   this->Seen.set(Key, SeenState::Finished, Now);
 }
@@ -85,22 +140,19 @@
 
 std::vector<Dequeued> Admission::poll(TimePoint Now) {
   std::vector<Dequeued> Left;
-  const auto GiveUp = [&](const Waiter &Each) {
-    if (Now < Each.Deadline && !this->Draining)
-      return false;
+  const std::vector<WaitingRequest> GivenUp =
+      this->Draining ? this->Line.takeAll() : this->Line.takeHopeless(Now);
+  for (const WaitingRequest &Each : GivenUp) {
     this->Seen.set(Each.Key, SeenState::NotRun, Now);
     Left.push_back(
         {.Key = Each.Key,
          .Start = false,
          .Reason = this->Draining ? "target is draining" : "deadline is over"});
-    return true;
-  };
-  std::erase_if(this->Waiting, GiveUp);
-  while (!this->Waiting.empty() && this->maySlot(Now)) {
-    const RequestKey Key = this->Waiting.front().Key;
-    this->Waiting.pop_front();
-    this->start(Key, Now);
-    Left.push_back({.Key = Key, .Start = true, .Reason = {}});
+  }
+  while (!this->Line.empty() && this->maySlot(Now)) {
+    const WaitingRequest Next = this->Line.takeFirst(Now);
+    this->start(Next.Key, Next.Route, Now);
+    Left.push_back({.Key = Next.Key, .Start = true, .Reason = {}});
   }
   return Left;
 }
@@ -111,8 +163,7 @@
     return CancelState::Running;
   if (Known == SeenState::Finished)
     return CancelState::Finished;
-  std::erase_if(this->Waiting,
-                [&Key](const Waiter &Each) { return Each.Key == Key; });
+  this->Line.remove(Key);
   if (Known != SeenState::NotRun)
     this->Seen.set(Key, SeenState::NotRun, Now);
   return CancelState::NotRun;
--- a/src/plugins/admission/admission.h
+++ b/src/plugins/admission/admission.h
@@ -1,10 +1,12 @@
 #ifndef BLUEBELLBARROW_ADMISSION_ADMISSION_H
 #define BLUEBELLBARROW_ADMISSION_ADMISSION_H
 
+#include "admittedwork.h"
 #include "plugins/peer/peermessages.h"
+#include "plugins/routing/workestimate.h"
 #include "seenrequests.h"
+#include "waitingline.h"
 
-#include <deque>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,20 @@
   size_t Queue = 10;
 };
 
+/** A request that asks for the target. */
+struct AdmissionRequest {
+  RequestKey Key;
+  RouteName Route;
+
+  /** Rank among requests that wait; 0 goes first. */
+  int64_t Priority = 0;
+
+  /** Time until which an answer is of full use. */
+  TimePoint Aim;
+
+  TimePoint Deadline;
+};
+
 /** What becomes of a request on arrival. */
 enum class Admitted { Start, Queue, Refuse };
 
@@ -31,6 +47,9 @@
 
   /** The request is known and its first copy decides; no answer is due. */
   bool Duplicate = false;
+
+  /** Time after which a refused request may find room. */
+  Duration RetryAfter{};
 };
 
 /** A request that left the queue. */
@@ -44,10 +63,13 @@
 };
 
 /**
- * Lets requests to the target: so many at once, a short queue that knows the
- * deadlines, and nothing while the target drains. Remembers each request, so
- * that none starts twice and a cancelled one never starts.
+ * Lets requests to the target: so many at once, a line of those that can
+ * still be answered in time, and nothing while the target drains. Refuses on
+ * arrival what would wait in vain. Remembers each request, so that none starts
+ * twice and a cancelled one never starts.
  *
+ * Load pattern: more work than the target has slots, of several ranks, for
+ * seconds (bursts) or as long as the node runs (too few targets).
  * A decision object. Thread safety: none; owned by one task.
  */
 class Admission {
@@ -62,12 +84,12 @@
   /** Starts nothing before \a Until; requests queue meanwhile. */
   void holdUntil(TimePoint Until) { this->Hold = Until; }
 
-  AdmitResult admit(const RequestKey &Key, TimePoint Deadline, TimePoint Now);
+  AdmitResult admit(const AdmissionRequest &Request, TimePoint Now);
 
   /** A started request has ended. */
   void onFinished(const RequestKey &Key, TimePoint Now);
 
-  /** A started request was never handed to the target. */
+  /** A started request was not run by the target. */
   void onNotRun(const RequestKey &Key, TimePoint Now);
 
   /** Returns the requests that start or are given up now. */
@@ -81,36 +103,36 @@
 
   size_t running() const { return this->Running.size(); }
 
-  size_t queued() const { return this->Waiting.size(); }
+  size_t queued() const { return this->Line.size(); }
 
   const AdmissionLimits &limits() const { return this->Limits; }
 
-private:
-  struct Waiter {
-    RequestKey Key;
-    TimePoint Deadline;
-  };
+  /** Returns the time that a request which goes last would wait. */
+  Duration lastWait(TimePoint Now) const;
 
+private:
   struct Started {
     RequestKey Key;
+    RouteName Route;
     TimePoint Time;
   };
 
-  void start(const RequestKey &Key, TimePoint Now);
-  bool tooLate(TimePoint Deadline, size_t Ahead, TimePoint Now) const;
+  void start(const RequestKey &Key, const RouteName &Route, TimePoint Now);
   bool maySlot(TimePoint Now) const;
+  Duration startOf(const WaitingRequest *Request, TimePoint Now) const;
+  Duration expectedWait(const WaitingRequest &Request, TimePoint Now) const;
+  AdmitResult judgeWait(const WaitingRequest &Request, TimePoint Now);
   AdmitResult refuse(const RequestKey &Key, const std::string &Reason,
-                     TimePoint Now);
+                     Duration RetryAfter, TimePoint Now);
 
   AdmissionLimits Limits;
   SeenRequests Seen;
-  std::deque<Waiter> Waiting;
+  WaitingLine Line;
+  WorkEstimate Work;
+  AdmittedWork Overtaking;
   std::vector<Started> Running;
   bool Draining = false;
   TimePoint Hold;
-
-  /** Mean time that a request runs, in seconds. */
-  double MeanRun = 0;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -1,4 +1,5 @@
 #include "kernel/hashing.h"
+#include "kernel/log.h"
 #include "kernel/pausedetector.h"
 #include "origincalls.h"
 #include "plugins/metrics/metrics.h"
@@ -29,18 +30,23 @@
 class DataPlugin : public NodePlugin {
 public:
   explicit DataPlugin(NodeContext &Context)
-      : Context(Context), Owner({.Name = "data", .MaxSockets = MaxSockets}),
-        Self{.Mesh = meshIdOf(Context.Settings.Mesh),
-             .Name = Context.Settings.Name,
-             .Life = Context.Life},
-        Target(Owner, Context.Settings, Context.Counters,
+      : Context(Context),
+        Owner(Context.Tasks.get({.Name = "data", .MaxSockets = MaxSockets})),
+        Dialect(dialectOf(Context.Settings)), Self{.Mesh = meshIdOf(
+                                                       Context.Settings.Mesh),
+                                                   .Name =
+                                                       Context.Settings.Name,
+                                                   .Life = Context.Life},
+        Target(Owner, Context.Settings, *Dialect, Context.Counters,
                [this] { this->hastenTick(); }),
-        Origin(Owner, Context.Settings, Self, Target, Context.Counters),
+        Origin(Owner, Context.Settings, *Dialect, Self, Target,
+               Context.Counters),
         Peers(Owner, Context.Settings.Ip, Context.Settings.PeerPort, Self,
               this->peerEvents()),
         Probe(Owner, Context.Settings,
               [this](MemberState State) { this->onTargetState(State); }),
-        Pauses(PauseLimit), Tick(Owner, [this] { this->onTick(); }) {}
+        Pauses(PauseLimit), Tick(Owner, [this] { this->onTick(); }),
+        Service(Context.Settings.Service) {}
 
   Result<std::monostate> prepare() override {
     const NodeSettings &Settings = this->Context.Settings;
@@ -58,20 +64,13 @@
                                 });
     Bus.Stop.subscribe(this->Owner,
                        [this](const StopMessage &) { this->onStop(); });
-    this->Owner.post([this] {
-      this->Probe.start();
-      this->onTick();
+    Bus.Settings.subscribe(this->Owner, [this](const SettingsMessage &Message) {
+      this->onSettings(*Message.Current);
     });
+    this->Owner.post([this] { this->onTick(); });
     return std::monostate();
   }
 
-  void start() override { this->Owner.start(); }
-
-  void stop() override {
-    this->Owner.stop();
-    this->Owner.join();
-  }
-
 private:
   PeerServerEvents peerEvents() {
     return {
@@ -102,16 +101,33 @@
     };
   }
 
+  static std::unique_ptr<CallDialect> dialectOf(const NodeSettings &Settings) {
+    return CallDialectRegistry::instance().create(Settings.PlatformProtocol);
+  }
+
+  void onSettings(const NodeSettings &New) {
+    this->Service = New.Service;
+    this->Target.setSettings(New);
+    this->Origin.setSettings(New);
+    if (this->Current != nullptr)
+      this->onSnapshot(this->Current);
+  }
+
   void onSnapshot(const std::shared_ptr<const Snapshot> &New) {
+    this->Current = New;
     this->Origin.setSnapshot(New);
     this->Target.setSnapshot(New);
-    this->HasSnapshot = true;
-    const ServiceEntry *Own = New->findService(this->Context.Settings.Service);
+    const ServiceEntry *Own = New->findService(this->Service);
     this->ListedLeaving = false;
     if (Own != nullptr) {
+      if (!Own->Effective.ProbePath.empty())
+        this->Probe.setPath(Own->Effective.ProbePath);
       this->Probe.setPeriod(Own->Effective.ProbePeriod);
+      if (Own->Effective.ProbePeriod == Duration::zero())
+        this->TargetState = MemberState::Serving;
       for (const Vm &Each : Own->Upstreams)
-        if (Each.Name == this->Context.Settings.Name)
+        if (Each.Name == this->Self.Name &&
+            Each.Target == this->Target.target())
           this->ListedLeaving = Each.Leaving;
     }
     this->updateState();
@@ -126,7 +142,7 @@
     MemberState State = this->TargetState;
     if (this->Stopping || this->ListedLeaving)
       State = MemberState::Draining;
-    else if (!this->HasSnapshot)
+    else if (this->Current == nullptr)
       State = MemberState::Starting;
     if (State == this->Target.state())
       return;
@@ -184,7 +200,8 @@
   }
 
   NodeContext &Context;
-  Task Owner;
+  Task &Owner;
+  std::unique_ptr<CallDialect> Dialect;
   PeerIdentity Self;
   UpstreamCalls Target;
   OriginCalls Origin;
@@ -193,8 +210,9 @@
   PauseDetector Pauses;
   Timer Tick;
   TimePoint NextTick;
+  ServiceName Service;
   MemberState TargetState = MemberState::Starting;
-  bool HasSnapshot = false;
+  std::shared_ptr<const Snapshot> Current;
 
   /** The platform is about to take this VM away. */
   bool ListedLeaving = false;
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -2,56 +2,78 @@
 
 #include "kernel/hashing.h"
 #include "kernel/httpheaders.h"
+#include "kernel/log.h"
 #include "plugins/metrics/metrics.h"
 #include "upstreamcalls.h"
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <charconv>
+#include <cstdio>
 
 namespace bluebellbarrow {
 
 namespace {
 
-constexpr size_t MaxRequestBytes = size_t{8} * 1024 * 1024;
 constexpr int MaxDepth = 64;
+
+/** Connections of callers; the rest of the descriptors is for peers. */
+constexpr size_t MaxCallers = 3000;
+
 constexpr Duration MetricsPeriod = seconds(1);
+
+/** Time after which a caller may find a node ready that was not. */
+constexpr Duration NotReadyRetryAfter = milliseconds(300);
+
+/** Share by which the time to come back is spread. */
+constexpr double RetryAfterSpread = 0.5;
+
 constexpr int StatusNotRun = 503;
 constexpr int StatusUnknown = 502;
 constexpr int StatusLate = 504;
 
-HttpServerOptions serverOptions(const NodeSettings &Settings) {
-  HttpServerOptions Options{.Name = "callers",
-                            .Ip = Settings.Ip,
-                            .Port = Settings.CallerPort,
-                            .MaxBodyBytes = MaxRequestBytes};
-  Options.CustomHeaders.assign(productHeaders().begin(),
-                               productHeaders().end());
-  Options.CustomHeaders.insert(Options.CustomHeaders.end(),
-                               Settings.ForwardHeaders.begin(),
-                               Settings.ForwardHeaders.end());
-  return Options;
+/** Returns the host that a request names: in lower case, without a port. */
+std::string hostOf(const HttpRequest &Request) {
+  std::string Host(headerValue(Request.Headers, "host"));
+  Host.resize(std::min(Host.size(), Host.find(':')));
+  std::transform(
+      Host.begin(), Host.end(), Host.begin(),
+      [](unsigned char Each) { return static_cast<char>(std::tolower(Each)); });
+  return Host;
 }
 
-int64_t numberHeader(const HttpRequest &Request, const char *Name,
+int64_t numberHeader(const HttpRequest &Request, const std::string &Name,
                      int64_t Default) {
-  const std::string_view Text = headerValue(Request.Headers, Name);
   int64_t Number = Default;
+  if (Name.empty())
+    return Number;
+  const std::string_view Text = headerValue(Request.Headers, Name);
   std::from_chars(Text.data(), Text.data() + Text.size(), Number);
   return Number;
 }
 
+uint64_t microsUntil(TimePoint Then, TimePoint Now) {
+  return static_cast<uint64_t>(
+      std::max<int64_t>(0, toMicroseconds(Then - Now)));
+}
+
 } // namespace
 
 OriginCalls::OriginCalls(Task &Owner, const NodeSettings &Settings,
-                         const PeerIdentity &Self, UpstreamCalls &Local,
-                         Metrics &Counters)
-    : Owner(Owner), Settings(Settings), Self(Self), Local(Local),
-      Counters(Counters), Routes(Self.Name, Self.Life.value()),
+                         const CallDialect &Dialect, const PeerIdentity &Self,
+                         UpstreamCalls &Local, Metrics &Counters)
+    : Owner(Owner), Service(Settings.Service), Dialect(Dialect), Self(Self),
+      Local(Local), Counters(Counters), Routes(Self.Name, Self.Life.value()),
+      Random(Self.Life.value()),
       Callers(
-          Owner, serverOptions(Settings),
+          Owner,
+          {.Name = "callers",
+           .Local = Settings.Callers,
+           .MaxConnections = MaxCallers},
           {.Requested =
                [this](ExchangeId Caller, const HttpRequest &Request,
-                      const Address &) { this->onRequest(Caller, Request); },
+                      const Endpoint &) { this->onRequest(Caller, Request); },
            .Aborted = [this](ExchangeId Caller) { this->onAborted(Caller); },
            .Malformed =
                [this](const Error &Failure) {
@@ -94,6 +116,12 @@
 void OriginCalls::setSnapshot(std::shared_ptr<const Snapshot> New) {
   this->Current = std::move(New);
   this->Routes.setSnapshot(this->Current, Task::now());
+  const CallerLimits &Limits = this->Current->Limits;
+  this->Callers.setLimits(
+      {.Message = {.MaxHeaderBytes = static_cast<size_t>(Limits.MaxHeader),
+                   .MaxBodyBytes = static_cast<size_t>(Limits.MaxBody)},
+       .HeaderTime = Limits.HeaderTime,
+       .IdleTime = Limits.IdleTime});
 }
 
 RetryBudget &OriginCalls::budgetOf(const ServiceEntry &Service, TimePoint Now) {
@@ -109,75 +137,125 @@
   return Known->second;
 }
 
-void OriginCalls::refuse(ExchangeId Caller, int Status,
-                         const std::string &Reason) {
+HttpResponse OriginCalls::ownAnswer(int Status, const char *Outcome,
+                                    const std::string &Reason) const {
+  const CallHeaderNames &Names = this->Dialect.names();
+  HttpResponse Response{.Status = Status, .Headers = {}, .Body = Reason + "\n"};
+  const std::array<HttpHeader, 3> Properties = {
+      {{Names.Outcome, Outcome}, {Names.Reason, Reason}, {Names.NoRetry, "1"}}};
+  for (const HttpHeader &Each : Properties)
+    if (!Each.Name.empty())
+      Response.Headers.push_back(Each);
+  return Response;
+}
+
+void OriginCalls::setRetryAfter(HttpResponse &Response, Duration Time) {
+  std::uniform_real_distribution<double> Draw(1, 1 + RetryAfterSpread);
+  const std::chrono::duration<double> Seconds = Time;
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                Seconds.count() * Draw(this->Random));
+  Response.Headers.push_back({header::RetryAfter, Text.data()});
+}
+
+void OriginCalls::refuse(ExchangeId Caller, const HttpRequest &Request,
+                         int Status, const std::string &Reason) {
   this->Counters.add(Metric::Refused, Reason);
-  this->answer(Caller,
-               {.Status = Status,
-                .Headers = {{header::Outcome, "not-run"},
-                            {header::Reason, Reason},
-                            {header::NoRetry, "1"}},
-                .Body = Reason + "\n"},
-               "not-run");
+  logEvent(
+      LogLevel::Info, "request refused",
+      {{"request", this->requestId(Request)},
+       {"target", Request.Target},
+       {"status", Status},
+       {"reason", Reason},
+       {"version", this->Current == nullptr ? std::string("none")
+                                            : this->Current->Version.text()}});
+  HttpResponse Response = this->ownAnswer(Status, "not-run", Reason);
+  if (Status == StatusNotRun)
+    this->setRetryAfter(Response, NotReadyRetryAfter);
+  this->answer(Caller, std::move(Response), "not-run");
 }
 
 void OriginCalls::answer(ExchangeId Caller, HttpResponse Response,
                          const char *Outcome) {
   this->Counters.add(Metric::Requests, Outcome);
-  Response.Close = this->Leaving;
   this->Callers.respond(Caller, std::move(Response));
 }
 
+std::string_view OriginCalls::requestId(const HttpRequest &Request) const {
+  return headerValue(Request.Headers, this->Dialect.names().RequestId);
+}
+
 void OriginCalls::onRequest(ExchangeId Caller, const HttpRequest &Request) {
   this->LastRequest = Task::now();
   if (this->Current == nullptr) {
-    this->refuse(Caller, StatusNotRun, "no version is in force yet");
+    this->refuse(Caller, Request, StatusNotRun, "no version is in force yet");
     return;
   }
-  const RouteEntry *Route =
-      this->Current->findRoute(Request.Method, pathOf(Request.Target));
-  if (Route == nullptr) {
-    this->refuse(Caller, 404, "no route matches");
+  const RouteEntry *Route = this->Current->findRoute(
+      hostOf(Request), Request.Method, pathOf(Request.Target));
+  if (Route == nullptr || Route->Shares.empty()) {
+    this->refuse(Caller, Request, 404, "no route matches");
     return;
   }
-  if (numberHeader(Request, header::Depth, 0) >= MaxDepth) {
-    this->refuse(Caller, 508, "too many calls in a chain");
+  if (numberHeader(Request, this->Dialect.names().Depth, 0) >= MaxDepth) {
+    this->refuse(Caller, Request, 508, "too many calls in a chain");
     return;
   }
   if (Request.Body.size() > static_cast<size_t>(Route->Effective.MaxBody)) {
-    this->refuse(Caller, 413, "request body is too large");
+    this->refuse(Caller, Request, 413, "request body is too large");
     return;
   }
   this->begin(Caller, Request, *Route);
 }
 
+RequestMessage OriginCalls::toMessage(const HttpRequest &Request,
+                                      const RouteEntry &Route,
+                                      const ServiceEntry &Service) const {
+  const int64_t Depth =
+      numberHeader(Request, this->Dialect.names().Depth, 0) + 1;
+  RequestMessage Message{.Service = Service.Name,
+                         .Route = Route.Name,
+                         .Caller = this->Service,
+                         .Priority =
+                             static_cast<uint8_t>(Route.Effective.Priority),
+                         .Idempotent = Route.Effective.Idempotent,
+                         .Depth = static_cast<uint8_t>(Depth),
+                         .Call = Request};
+  removeConnectionHeaders(Message.Call.Headers);
+  return Message;
+}
+
 void OriginCalls::begin(ExchangeId Caller, const HttpRequest &Request,
                         const RouteEntry &Route) {
   const TimePoint Now = Task::now();
-  const ServiceEntry &Service = this->Current->Services[Route.Service];
-  const int64_t Longest = toMilliseconds(Route.Effective.Deadline);
-  const int64_t Asked = numberHeader(Request, header::DeadlineMs, Longest);
-  const TimePoint Deadline =
-      Now + milliseconds(std::clamp<int64_t>(Asked, 0, Longest));
+  const Policy &Rules = Route.Effective;
+  const CallHeaderNames &Names = this->Dialect.names();
+  const size_t Share = this->Shares.next(Route);
+  const ServiceEntry &Service =
+      this->Current->Services[Route.Shares[Share].Service];
+  const int64_t Longest = toMilliseconds(Rules.Deadline);
+  const int64_t Asked = numberHeader(Request, Names.Remaining, Longest);
   const std::string_view Key =
-      headerValue(Request.Headers, header::IdempotencyKey);
+      Rules.Idempotent || Names.IdempotencyKey.empty()
+          ? std::string_view()
+          : headerValue(Request.Headers, Names.IdempotencyKey);
 
   const CallId Id = ++this->LastCall;
   Call &New = this->Calls[Id];
   New.Caller = Caller;
-  New.Deadline = Deadline;
-  New.Message.Service = Service.Name;
-  New.Message.Route = Route.Name;
-  New.Message.Idempotent = Route.Effective.Idempotent;
-  New.Message.Depth =
-      static_cast<uint8_t>(numberHeader(Request, header::Depth, 0) + 1);
-  New.Message.Call = Request;
+  New.Began = Now;
+  New.Deadline = Now + milliseconds(std::clamp<int64_t>(Asked, 0, Longest));
+  New.Aim = Rules.Aim > Duration::zero()
+                ? std::min(New.Deadline, Now + Rules.Aim)
+                : New.Deadline;
+  New.Message = this->toMessage(Request, Route, Service);
   New.Decisions = std::make_unique<Exchange>(
-      ExchangeOptions{.Service = Service,
-                      .Rules = Route.Effective,
-                      .Deadline = Deadline,
-                      .IdempotencyKey =
-                          Route.Effective.Idempotent ? "" : std::string(Key)},
+      ExchangeOptions{.Map = this->Current,
+                      .Service = &Service,
+                      .Rules = &Rules,
+                      .Route = Route.Name,
+                      .Deadline = New.Deadline,
+                      .IdempotencyKey = std::string(Key)},
       this->Routes, this->budgetOf(Service, Now));
   this->ByCaller[Caller] = Id;
   this->carryOut(Id, New.Decisions->start(Now));
@@ -203,9 +281,10 @@
   Target.Attempt = RequestNumber(++this->LastNumber);
   this->ByAttempt[Target.Attempt] = Id;
   Target.Message.Number = Target.Attempt;
-  Target.Upstream = Action.Upstream.Name;
-  Target.Message.Remaining = static_cast<uint64_t>(
-      std::max<int64_t>(0, toMicroseconds(Target.Deadline - Now)));
+  Target.Upstream = Action.Upstream;
+  Target.Message.Target = Action.Upstream.Target;
+  Target.Message.Remaining = microsUntil(Target.Deadline, Now);
+  Target.Message.AimRemaining = microsUntil(Target.Aim, Now);
   Target.Local = Action.Upstream.Name == this->Self.Name;
   this->Counters.add(Metric::Attempts, Action.Attempt == 1 ? "first" : "retry");
   if (!Target.Local) {
@@ -242,6 +321,7 @@
 
 void OriginCalls::act(CallId Id, const ForwardAnswer &) {
   Call &Target = this->Calls.at(Id);
+  this->logEnd(Target, "answered", Target.Answer.Status, "");
   this->answer(Target.Caller, std::move(Target.Answer), "answered");
 }
 
@@ -252,20 +332,31 @@
   int Status = NotRun ? StatusNotRun : StatusUnknown;
   if (Action.Late && !NotRun)
     Status = StatusLate;
-  logRecord(NotRun ? LogLevel::Debug : LogLevel::Info,
-            {.Step = "call " + Target.Message.Service.str() + "/" +
-                     Target.Message.Route.str(),
-             .Peer = Target.Upstream.str(),
-             .Version = this->Current->Version.text(),
-             .Request = Target.Attempt.value()},
-            std::string(Name) + ": " + Action.Reason);
-  this->answer(Target.Caller,
-               {.Status = Status,
-                .Headers = {{header::Outcome, Name},
-                            {header::Reason, Action.Reason},
-                            {header::NoRetry, "1"}},
-                .Body = Action.Reason + "\n"},
-               Name);
+  this->logEnd(Target, Name, Status, Action.Reason);
+  HttpResponse Response = this->ownAnswer(Status, Name, Action.Reason);
+  if (NotRun)
+    this->setRetryAfter(Response, Action.RetryAfter);
+  this->answer(Target.Caller, std::move(Response), Name);
+}
+
+void OriginCalls::logEnd(const Call &Of, const char *Outcome, int Status,
+                         const std::string &Reason) const {
+  const TimePoint Now = Task::now();
+  const LogLevel Level = Reason.empty() ? LogLevel::Debug : LogLevel::Info;
+  logEvent(Level, Reason.empty() ? "call answered" : "call failed",
+           {{"request", this->requestId(Of.Message.Call)},
+            {"service", Of.Message.Service.str()},
+            {"route", Of.Message.Route.str()},
+            {"upstream", Of.Upstream.Name.str()},
+            {"target", Of.Upstream.Target.str()},
+            {"attempt", Of.Attempt.value()},
+            {"attempts", Of.Decisions->attempts()},
+            {"outcome", Outcome},
+            {"status", Status},
+            {"reason", Reason},
+            {"took_us", toMicroseconds(Now - Of.Began)},
+            {"left_ms", toMilliseconds(Of.Deadline - Now)},
+            {"version", this->Current->Version.text()}});
 }
 
 OriginCalls::Call *OriginCalls::findAttempt(RequestNumber Number, CallId &Id) {
@@ -283,10 +374,18 @@
   if (Found == nullptr)
     return;
   Found->Answer = Reply.Answer;
-  this->carryOut(
-      Id, Found->Decisions->onReply(Found->Decisions->attempts(), Reply.Result,
-                                    Reply.Answer.Status, Reply.Reason,
-                                    Reply.NoRetry, Task::now()));
+  if (Reply.Result == Outcome::Answered)
+    this->Routes.onRun(Found->Upstream.id(), Found->Message.Route,
+                       microseconds(Reply.RunMicros));
+  this->carryOut(Id, Found->Decisions->onReply(
+                         Found->Decisions->attempts(),
+                         {.Result = Reply.Result,
+                          .Status = Reply.Answer.Status,
+                          .Reason = Reply.Reason,
+                          .NoRetry = Reply.NoRetry,
+                          .ReachedTarget = Reply.ReachedTarget,
+                          .RetryAfter = microseconds(Reply.RetryAfterMicros)},
+                         Task::now()));
 }
 
 void OriginCalls::onCancelReply(const CancelReplyMessage &Reply) {
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -1,15 +1,18 @@
 #ifndef BLUEBELLBARROW_HTTP_ORIGINCALLS_H
 #define BLUEBELLBARROW_HTTP_ORIGINCALLS_H
 
+#include "calldialect.h"
 #include "kernel/httpserver.h"
 #include "kernel/nodesettings.h"
 #include "kernel/task.h"
 #include "plugins/peer/peerclient.h"
 #include "plugins/routing/exchange.h"
+#include "plugins/routing/shareplan.h"
 #include "tree/snapshot.h"
 
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace bluebellbarrow {
@@ -24,22 +27,25 @@
  */
 class OriginCalls {
 public:
-  /** \pre the arguments outlive the object. */
+  /** \pre the references outlive the object. */
   OriginCalls(Task &Owner, const NodeSettings &Settings,
-              const PeerIdentity &Self, UpstreamCalls &Local,
-              Metrics &Counters);
+              const CallDialect &Dialect, const PeerIdentity &Self,
+              UpstreamCalls &Local, Metrics &Counters);
 
-  /** Returns false when the port for callers can't be listened on. */
+  /** Returns false when the address for callers can't be listened on. */
   bool listening() const { return this->Callers.listening(); }
 
   void setSnapshot(std::shared_ptr<const Snapshot> New);
 
+  /** Takes the service of new settings. */
+  void setSettings(const NodeSettings &New) { this->Service = New.Service; }
+
   void onAnnouncement(const MemberAnnouncement &Announced) {
     this->Routes.onAnnouncement(Announced);
   }
 
   /** Asks callers to close their connection after each answer. */
-  void setLeaving() { this->Leaving = true; }
+  void setLeaving() { this->Callers.setLeaving(true); }
 
   /** Time has passed; to be called every few milliseconds. */
   void poll(TimePoint Now);
@@ -55,11 +61,13 @@
     ExchangeId Caller;
     std::unique_ptr<Exchange> Decisions;
     RequestMessage Message;
+    TimePoint Began;
+    TimePoint Aim;
     TimePoint Deadline;
 
     /** Number of the current attempt, and where it went. */
     RequestNumber Attempt;
-    VmName Upstream;
+    Vm Upstream;
 
     /** The answer of the current attempt, until it is forwarded. */
     HttpResponse Answer;
@@ -74,6 +82,8 @@
   void onAborted(ExchangeId Caller);
   void begin(ExchangeId Caller, const HttpRequest &Request,
              const RouteEntry &Route);
+  RequestMessage toMessage(const HttpRequest &Request, const RouteEntry &Route,
+                           const ServiceEntry &Service) const;
   void carryOut(CallId Id, const ExchangeActions &Actions);
   void act(CallId Id, const StartAttempt &Action);
   void act(CallId Id, const CancelAttempt &Action);
@@ -82,18 +92,28 @@
   void onReply(const ReplyMessage &Reply);
   void onCancelReply(const CancelReplyMessage &Reply);
   Call *findAttempt(RequestNumber Number, CallId &Id);
-  void refuse(ExchangeId Caller, int Status, const std::string &Reason);
+  void refuse(ExchangeId Caller, const HttpRequest &Request, int Status,
+              const std::string &Reason);
+  HttpResponse ownAnswer(int Status, const char *Outcome,
+                         const std::string &Reason) const;
+  void setRetryAfter(HttpResponse &Response, Duration Time);
   void answer(ExchangeId Caller, HttpResponse Response, const char *Outcome);
+  std::string_view requestId(const HttpRequest &Request) const;
+  void logEnd(const Call &Of, const char *Outcome, int Status,
+              const std::string &Reason) const;
   void publishMetrics(TimePoint Now);
   RetryBudget &budgetOf(const ServiceEntry &Service, TimePoint Now);
 
   Task &Owner;
-  const NodeSettings &Settings;
+  ServiceName Service;
+  const CallDialect &Dialect;
   PeerIdentity Self;
   UpstreamCalls &Local;
   Metrics &Counters;
   std::shared_ptr<const Snapshot> Current;
   Router Routes;
+  SharePlan Shares;
+  std::mt19937_64 Random;
   std::map<ServiceName, RetryBudget> Budgets;
   HttpServer Callers;
   PeerClient Peers;
@@ -104,7 +124,6 @@
   CallId LastCall = 0;
   TimePoint LastRequest;
   TimePoint NextMetrics;
-  bool Leaving = false;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/http/targetprobe.cpp
+++ b/src/plugins/http/targetprobe.cpp
@@ -19,22 +19,31 @@
     : OnState(std::move(OnState)), Path(Settings.HealthPath),
       Client(Owner, {.Name = "probe",
                      .LocalIp = {},
-                     .Ip = Settings.TargetIp,
-                     .Port = Settings.TargetPort,
+                     .Remote = Settings.Target,
                      .Slots = 2,
-                     .MaxBodyBytes = MaxHealthBytes,
-                     .CustomHeaders = {header::TargetState}}),
+                     .MaxBodyBytes = MaxHealthBytes}),
       Next(Owner, [this] { this->probe(); }) {}
 
-void TargetProbe::start() { this->probe(); }
+void TargetProbe::setPeriod(Duration New) {
+  const bool Begins =
+      this->Period == Duration::zero() && New > Duration::zero();
+  this->Period = New;
+  if (Begins)
+    this->probe();
+  if (New == Duration::zero())
+    this->Next.cancel();
+}
 
 void TargetProbe::probe() {
   this->Next.start(this->Period);
   if (this->Client.busy() > 0)
     return;
-  this->Client.call(
-      {.Method = "GET", .Target = this->Path, .Headers = {}, .Body = {}},
-      ProbeLimit, [this](const CallResult &Result) { this->onDone(Result); });
+  this->Client.call({.Method = "GET",
+                     .Target = this->Path,
+                     .Headers = {{"Host", "target"}},
+                     .Body = {}},
+                    ProbeLimit,
+                    [this](const CallResult &Result) { this->onDone(Result); });
 }
 
 void TargetProbe::onDone(const CallResult &Result) {
--- a/src/plugins/http/targetprobe.h
+++ b/src/plugins/http/targetprobe.h
@@ -22,10 +22,11 @@
   TargetProbe(Task &Owner, const NodeSettings &Settings,
               std::function<void(MemberState)> OnState);
 
-  void setPeriod(Duration New) { this->Period = New; }
+  /** Sets the time between two probes; zero for none. */
+  void setPeriod(Duration New);
 
-  /** Probes at once and then from time to time. */
-  void start();
+  /** Sets the path to probe. */
+  void setPath(const std::string &New) { this->Path = New; }
 
 private:
   void probe();
@@ -35,7 +36,7 @@
   std::string Path;
   HttpClient Client;
   Timer Next;
-  Duration Period = milliseconds(500);
+  Duration Period{};
   int Failures = 0;
 };
 
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -1,12 +1,12 @@
 #include "upstreamcalls.h"
 
 #include "kernel/hashing.h"
-#include "kernel/httpheaders.h"
+#include "kernel/log.h"
 #include "kernel/task.h"
 #include "plugins/metrics/metrics.h"
 
 #include <algorithm>
-#include <iterator>
+#include <limits>
 
 namespace bluebellbarrow {
 
@@ -14,49 +14,100 @@
 
 constexpr size_t MaxSlots = 1000;
 
+/** Largest body of an answer. */
+constexpr size_t MaxAnswerBytes = size_t{64} * 1024 * 1024;
+
+constexpr int StatusMisdirected = 421;
+
 uint64_t fingerprint(const HttpRequest &Call) {
   return stableHash(Call.Method + "\n" + Call.Target + "\n" + Call.Body);
 }
 
-std::vector<std::string> customHeaders(const NodeSettings &Settings) {
-  std::vector<std::string> Names(productHeaders().begin(),
-                                 productHeaders().end());
-  Names.insert(Names.end(), Settings.ForwardHeaders.begin(),
-               Settings.ForwardHeaders.end());
-  return Names;
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+/** Sets a header, or removes it where the dialect has no name for it. */
+void setProperty(HttpHeaders &Headers, const std::string &Name,
+                 const std::string &Value) {
+  if (!Name.empty() && !Value.empty())
+    setHeader(Headers, Name, Value);
+}
+
+/** Returns the VM of this node that started its target last, or null. */
+const Vm *findOwn(const ServiceEntry &Service, const VmName &Self) {
+  const Vm *Last = nullptr;
+  for (const Vm &Each : Service.Upstreams)
+    if (Each.Name == Self && (Last == nullptr || Last->Born < Each.Born))
+      Last = &Each;
+  return Last;
+}
+
+/** Returns the name of the event that ends a request with \a Result. */
+const char *endEvent(Outcome Result) {
+  switch (Result) {
+  case Outcome::Answered:
+    return "target answered";
+  case Outcome::NotRun:
+    return "request refused at target's node";
+  case Outcome::Unknown:
+    return "target failed";
+  }
+  return "unknown";
 }
 
 } // namespace
 
 UpstreamCalls::UpstreamCalls(Task &Owner, const NodeSettings &Settings,
-                             Metrics &Counters, std::function<void()> OnFirst)
-    : Owner(Owner), Settings(Settings), Counters(Counters),
+                             const CallDialect &Dialect, Metrics &Counters,
+                             std::function<void()> OnFirst)
+    : Owner(Owner), Self(Settings.Name), Service(Settings.Service),
+      Place(Settings.Target), Dialect(Dialect), Counters(Counters),
       OnFirst(std::move(OnFirst)), Gate(AdmissionLimits()),
       Keys(KeyMemoryOptions()) {}
 
+void UpstreamCalls::setSettings(const NodeSettings &New) {
+  const bool Moved = New.Target != this->Place;
+  this->Service = New.Service;
+  this->Place = New.Target;
+  if (Moved && this->Target != nullptr) {
+    for (size_t Slot = 0; Slot < this->Target->slots(); ++Slot)
+      this->Target->cancel(Slot, "the target has moved");
+    this->connectTarget(this->Target->slots());
+  }
+  if (this->Current != nullptr)
+    this->setSnapshot(this->Current);
+}
+
+void UpstreamCalls::connectTarget(size_t Slots) {
+  const CallHeaderNames &Names = this->Dialect.names();
+  this->Target = std::make_unique<HttpClient>(
+      this->Owner,
+      HttpClientOptions{.Name = "target",
+                        .LocalIp = {},
+                        .Remote = this->Place,
+                        .Slots = Slots,
+                        .MaxBodyBytes = MaxAnswerBytes,
+                        .EchoedHeader = Names.IsEchoed ? Names.RequestId : ""});
+}
+
 void UpstreamCalls::setSnapshot(std::shared_ptr<const Snapshot> New) {
   this->Current = std::move(New);
-  const ServiceEntry *Own = this->Current->findService(this->Settings.Service);
-  if (Own == nullptr)
+  const ServiceEntry *Entry = this->Current->findService(this->Service);
+  if (Entry == nullptr)
     return;
-  const Policy &Rules = Own->Effective;
-  const size_t Slots = std::min(static_cast<size_t>(Rules.Slots), MaxSlots);
+  const Vm *Own = findOwn(*Entry, this->Self);
+  if (Own != nullptr)
+    this->Listed = Own->Target;
+  const Policy &Rules = Entry->Effective;
+  const int64_t Wanted =
+      Own != nullptr && Own->Slots > 0 ? Own->Slots : Rules.Slots;
+  const size_t Slots = std::min(static_cast<size_t>(Wanted), MaxSlots);
   this->Gate.setLimits(
       {.Slots = Slots, .Queue = static_cast<size_t>(Rules.Queue)});
   this->Keys.setOptions({.Memory = Rules.KeyMemory});
-  if (this->Target != nullptr && this->Target->slots() >= Slots)
-    return;
-  if (this->Target != nullptr && this->Gate.running() > 0)
-    return;
-  this->Target = std::make_unique<HttpClient>(
-      this->Owner,
-      HttpClientOptions{.Name = "target",
-                        .LocalIp = {},
-                        .Ip = this->Settings.TargetIp,
-                        .Port = this->Settings.TargetPort,
-                        .Slots = Slots,
-                        .MaxBodyBytes = static_cast<size_t>(Rules.MaxBody),
-                        .CustomHeaders = customHeaders(this->Settings)});
+  if (this->Target == nullptr)
+    this->connectTarget(Slots);
+  else
+    this->Target->setSlots(Slots);
 }
 
 void UpstreamCalls::setState(MemberState New) {
@@ -65,17 +116,24 @@
 }
 
 LoadReport UpstreamCalls::load() const {
+  const auto Wait =
+      std::min<int64_t>(toMicroseconds(this->Gate.lastWait(Task::now())),
+                        std::numeric_limits<uint32_t>::max());
   return {.SlotsUsed = static_cast<uint16_t>(this->Gate.running()),
           .Slots = static_cast<uint16_t>(this->Gate.limits().Slots),
           .Queued = static_cast<uint16_t>(this->Gate.queued()),
-          .State = this->State};
+          .WaitMicros = static_cast<uint32_t>(Wait),
+          .State = this->State,
+          .Target = this->Listed};
 }
 
 bool UpstreamCalls::joinEarlierRun(const RequestKey &Key,
                                    const RequestMessage &Message,
                                    const Sink &Reply, std::string &KeyName) {
-  const std::string_view Given =
-      headerValue(Message.Call.Headers, header::IdempotencyKey);
+  const std::string &KeyHeader = this->Dialect.names().IdempotencyKey;
+  if (KeyHeader.empty())
+    return false;
+  const std::string_view Given = headerValue(Message.Call.Headers, KeyHeader);
   if (Given.empty() || Message.Idempotent)
     return false;
   KeyName =
@@ -108,17 +166,28 @@
   return true;
 }
 
+const char *UpstreamCalls::whyNotReady(const RequestMessage &Message) const {
+  if (this->Current == nullptr || this->Target == nullptr)
+    return "not ready";
+  if (Message.Service != this->Service)
+    return "another service runs here";
+  if (!Message.Target.empty() && Message.Target != this->Listed)
+    return "another target runs here";
+  return nullptr;
+}
+
 void UpstreamCalls::request(const RequestKey &Key,
                             const RequestMessage &Message, Sink Reply) {
   const TimePoint Now = Task::now();
   const TimePoint Deadline =
       Now + microseconds(static_cast<int64_t>(Message.Remaining));
+  const TimePoint Aim =
+      Now + microseconds(static_cast<int64_t>(Message.AimRemaining));
   if (this->Calls.contains(Key) || this->Joined.contains(Key))
     return;
-  const bool Ready = this->Current != nullptr && this->Target != nullptr &&
-                     Message.Service == this->Settings.Service;
+  const char *NotReady = this->whyNotReady(Message);
   std::string KeyName;
-  if (Ready && this->joinEarlierRun(Key, Message, Reply, KeyName))
+  if (NotReady == nullptr && this->joinEarlierRun(Key, Message, Reply, KeyName))
     return;
   if (this->Calls.empty())
     this->OnFirst();
@@ -126,37 +195,48 @@
                       .Deadline = Deadline,
                       .Reply = std::move(Reply),
                       .KeyName = KeyName};
-  if (!Ready) {
-    this->refuse(Key, "not ready");
+  if (NotReady != nullptr) {
+    this->refuse(Key, NotReady);
     return;
   }
-  const AdmitResult Result = this->Gate.admit(Key, Deadline, Now);
+  const AdmitResult Result = this->Gate.admit({.Key = Key,
+                                               .Route = Message.Route,
+                                               .Priority = Message.Priority,
+                                               .Aim = Aim,
+                                               .Deadline = Deadline},
+                                              Now);
   if (Result.Duplicate)
     this->Calls.erase(Key);
   else if (Result.What == Admitted::Start)
     this->start(Key);
   else if (Result.What == Admitted::Refuse)
-    this->refuse(Key, Result.Reason);
+    this->refuse(Key, Result.Reason, Result.RetryAfter);
 }
 
-void UpstreamCalls::refuse(const RequestKey &Key, const std::string &Reason) {
+void UpstreamCalls::refuse(const RequestKey &Key, const std::string &Reason,
+                           Duration RetryAfter) {
   this->Counters.add(Metric::Refused, Reason);
-  this->end(
-      Key, {.Number = Key.Number, .Result = Outcome::NotRun, .Reason = Reason});
+  this->end(Key, {.Number = Key.Number,
+                  .Result = Outcome::NotRun,
+                  .Reason = Reason,
+                  .RetryAfterMicros =
+                      static_cast<uint32_t>(toMicroseconds(RetryAfter))});
 }
 
 HttpRequest UpstreamCalls::targetRequest(const Call &Of, TimePoint Now) const {
+  const CallHeaderNames &Names = this->Dialect.names();
   HttpRequest Request = Of.Message.Call;
-  const auto IsOurs = [](const HttpHeader &Each) {
-    return Each.Name == header::DeadlineMs || Each.Name == header::Depth ||
-           Each.Name == header::Route;
-  };
-  std::erase_if(Request.Headers, IsOurs);
+  HttpHeaders &Headers = Request.Headers;
   const int64_t Left = toMilliseconds(Of.Deadline - Now);
-  Request.Headers.push_back(
-      {header::DeadlineMs, std::to_string(std::max<int64_t>(1, Left))});
-  Request.Headers.push_back({header::Depth, std::to_string(Of.Message.Depth)});
-  Request.Headers.push_back({header::Route, Of.Message.Route.str()});
+  for (const std::string *Name : {&Names.CallerService, &Names.ExpectedTarget})
+    if (!Name->empty())
+      removeHeader(Headers, *Name);
+  setProperty(Headers, Names.Remaining,
+              std::to_string(std::max<int64_t>(1, Left)));
+  setProperty(Headers, Names.CallerService, Of.Message.Caller.str());
+  setProperty(Headers, Names.ExpectedTarget, this->Listed.str());
+  setProperty(Headers, Names.Depth, std::to_string(Of.Message.Depth));
+  setProperty(Headers, Names.Route, Of.Message.Route.str());
   return Request;
 }
 
@@ -169,6 +249,7 @@
     return;
   }
   Started.Running = true;
+  Started.Started = Now;
   Started.Slot = this->Target->call(this->targetRequest(Started, Now),
                                     Started.Deadline - Now,
                                     [this, Key](const CallResult &Result) {
@@ -176,37 +257,89 @@
                                     });
 }
 
-void UpstreamCalls::onTargetDone(const RequestKey &Key,
-                                 const CallResult &Result) {
-  const TimePoint Now = Task::now();
-  ReplyMessage Message{.Number = Key.Number};
-  const HttpHeaders &Headers = Result.Response.Headers;
-  const bool TargetRefused = Result.End == CallEnd::Answered &&
-                             headerValue(Headers, header::Outcome) == "not-run";
-  if (TargetRefused) {
-    this->Gate.onNotRun(Key, Now);
+bool UpstreamCalls::saysNotRun(const HttpResponse &Response) const {
+  const CallHeaderNames &Names = this->Dialect.names();
+  if (!Names.ExpectedTarget.empty() && Response.Status == StatusMisdirected)
+    return true;
+  if (!hasHeader(Response.Headers, Names.NotRun))
+    return false;
+  return Names.NotRunValue.empty() ||
+         headerValue(Response.Headers, Names.NotRun) == Names.NotRunValue;
+}
+
+bool UpstreamCalls::isSigned(const HttpResponse &Response) const {
+  const std::string &Signature = this->Dialect.names().Signature;
+  return Signature.empty() || !isSuccess(Response.Status) ||
+         hasHeader(Response.Headers, Signature);
+}
+
+ReplyMessage UpstreamCalls::toReply(const RequestKey &Key,
+                                    const CallResult &Result) {
+  const CallHeaderNames &Names = this->Dialect.names();
+  ReplyMessage Message{.Number = Key.Number, .ReachedTarget = true};
+  if (Result.End == CallEnd::NotSent) {
+    Message.Result = Outcome::NotRun;
+    Message.Reason = "target can't be reached";
+    Message.ReachedTarget = false;
+  } else if (Result.End != CallEnd::Answered) {
+    Message.Result = Outcome::Unknown;
+    Message.Reason = "target: " + Result.Cause;
+  } else if (this->saysNotRun(Result.Response)) {
     Message.Result = Outcome::NotRun;
     Message.Reason = "target refused";
-    Message.NoRetry = !headerValue(Headers, header::NoRetry).empty();
-    this->Counters.add(Metric::Refused, Message.Reason);
-  } else if (Result.End == CallEnd::Answered) {
-    this->Gate.onFinished(Key, Now);
+    Message.NoRetry =
+        !Names.NoRetry.empty() &&
+        !headerValue(Result.Response.Headers, Names.NoRetry).empty();
+  } else if (!this->isSigned(Result.Response)) {
+    Message.Result = Outcome::Unknown;
+    Message.Reason = "target: answer without its mark";
+  } else {
     Message.Result = Outcome::Answered;
     Message.Answer = Result.Response;
-  } else if (Result.End == CallEnd::NotSent) {
+    removeConnectionHeaders(Message.Answer.Headers);
+    if (!Names.Load.empty())
+      removeHeader(Message.Answer.Headers, Names.Load);
+  }
+  return Message;
+}
+
+void UpstreamCalls::onTargetDone(const RequestKey &Key,
+                                 const CallResult &Result) {
+  const TimePoint Now = Task::now();
+  ReplyMessage Message = this->toReply(Key, Result);
+  if (Message.Result == Outcome::NotRun) {
     this->Gate.onNotRun(Key, Now);
-    Message.Result = Outcome::NotRun;
-    Message.Reason = "target can't be reached";
     this->Counters.add(Metric::Refused, Message.Reason);
   } else {
     this->Gate.onFinished(Key, Now);
-    Message.Result = Outcome::Unknown;
-    Message.Reason = "target: " + Result.Cause;
   }
+  const auto Found = this->Calls.find(Key);
+  if (Found != this->Calls.end())
+    Message.RunMicros =
+        static_cast<uint32_t>(toMicroseconds(Now - Found->second.Started));
   this->end(Key, std::move(Message));
   this->runQueue(Now);
 }
 
+void UpstreamCalls::logEnd(const RequestKey &Key, const Call &Of,
+                           const ReplyMessage &Message) const {
+  const std::string &IdHeader = this->Dialect.names().RequestId;
+  const LogLevel Level =
+      Message.Result == Outcome::Answered ? LogLevel::Debug : LogLevel::Info;
+  logEvent(Level, endEvent(Message.Result),
+           {{"request", headerValue(Of.Message.Call.Headers, IdHeader)},
+            {"origin", Key.Origin.str()},
+            {"route", Of.Message.Route.str()},
+            {"target", this->Listed.str()},
+            {"reason", Message.Reason},
+            {"status", Message.Answer.Status},
+            {"run_us", Message.RunMicros},
+            {"left_ms", toMilliseconds(Of.Deadline - Task::now())},
+            {"running", this->Gate.running()},
+            {"queued", this->Gate.queued()},
+            {"retry_after_us", Message.RetryAfterMicros}});
+}
+
 void UpstreamCalls::end(const RequestKey &Key, ReplyMessage Message) {
   const auto Found = this->Calls.find(Key);
   if (Found == this->Calls.end())
@@ -214,6 +347,7 @@
   const Call Ended = std::move(Found->second);
   this->Calls.erase(Found);
   Message.Load = this->load();
+  this->logEnd(Key, Ended, Message);
   if (!Ended.KeyName.empty())
     for (const RequestKey &Other :
          this->Keys.finish(Ended.KeyName, Message, Task::now())) {
--- a/src/plugins/http/upstreamcalls.h
+++ b/src/plugins/http/upstreamcalls.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLBARROW_HTTP_UPSTREAMCALLS_H
 #define BLUEBELLBARROW_HTTP_UPSTREAMCALLS_H
 
+#include "calldialect.h"
 #include "kernel/httpclient.h"
 #include "kernel/nodesettings.h"
 #include "plugins/admission/admission.h"
@@ -30,18 +31,26 @@
 
   /**
    * \a OnFirst is called when the first request opens; from then on poll()
-   * is needed often. \pre \a Owner and \a Counters outlive the object.
+   * is needed often. \pre the references outlive the object.
    */
-  UpstreamCalls(Task &Owner, const NodeSettings &Settings, Metrics &Counters,
+  UpstreamCalls(Task &Owner, const NodeSettings &Settings,
+                const CallDialect &Dialect, Metrics &Counters,
                 std::function<void()> OnFirst);
 
+  /** Takes the policy, and which target the platform lists on this VM. */
   void setSnapshot(std::shared_ptr<const Snapshot> New);
 
+  /** Takes the target's place and service of new settings. */
+  void setSettings(const NodeSettings &New);
+
   /** Sets what the node says of its target. */
   void setState(MemberState State);
 
   MemberState state() const { return this->State; }
 
+  /** Returns the target that the platform lists on this VM; empty for none. */
+  const TargetId &target() const { return this->Listed; }
+
   /** Starts nothing before \a Until. */
   void holdUntil(TimePoint Until) { this->Gate.holdUntil(Until); }
 
@@ -66,27 +75,40 @@
     TimePoint Deadline;
     Sink Reply;
     std::string KeyName;
+    TimePoint Started;
     size_t Slot = 0;
     bool Running = false;
   };
 
   bool joinEarlierRun(const RequestKey &Key, const RequestMessage &Message,
                       const Sink &Reply, std::string &KeyName);
+  const char *whyNotReady(const RequestMessage &Message) const;
+  void connectTarget(size_t Slots);
   void start(const RequestKey &Key);
   void onTargetDone(const RequestKey &Key, const CallResult &Result);
+  ReplyMessage toReply(const RequestKey &Key, const CallResult &Result);
+  bool saysNotRun(const HttpResponse &Response) const;
+  bool isSigned(const HttpResponse &Response) const;
   void end(const RequestKey &Key, ReplyMessage Message);
-  void refuse(const RequestKey &Key, const std::string &Reason);
+  void refuse(const RequestKey &Key, const std::string &Reason,
+              Duration RetryAfter = Duration::zero());
   HttpRequest targetRequest(const Call &Of, TimePoint Now) const;
   void runQueue(TimePoint Now);
+  void logEnd(const RequestKey &Key, const Call &Of,
+              const ReplyMessage &Message) const;
 
   Task &Owner;
-  const NodeSettings &Settings;
+  VmName Self;
+  ServiceName Service;
+  Endpoint Place;
+  const CallDialect &Dialect;
   Metrics &Counters;
   std::function<void()> OnFirst;
   Admission Gate;
   KeyMemory Keys;
   std::unique_ptr<HttpClient> Target;
   std::shared_ptr<const Snapshot> Current;
+  TargetId Listed;
   std::map<RequestKey, Call> Calls;
 
   /** Requests that joined the run of another under the same key. */
--- a/src/plugins/metrics/adminplugin.cpp
+++ b/src/plugins/metrics/adminplugin.cpp
@@ -18,52 +18,57 @@
 class AdminPlugin : public NodePlugin {
 public:
   explicit AdminPlugin(NodeContext &Context)
-      : Context(Context), Owner({.Name = "admin", .MaxSockets = 128}),
-        Server(Owner,
-               {.Name = "admin",
-                .Ip = Context.Settings.AdminIp,
-                .Port = Context.Settings.AdminPort,
-                .MaxBodyBytes = MaxRequestBytes},
-               {.Requested =
-                    [this](ExchangeId Id, const HttpRequest &Request,
-                           const Address &) { this->answer(Id, Request); },
-                .Aborted = [](ExchangeId) {},
-                .Malformed =
-                    [this](const Error &Failure) {
-                      logError(LogLevel::Warning, Failure);
-                      this->Context.Counters.add(Metric::Malformed, "admin");
-                    }}),
+      : Context(Context),
+        Owner(Context.Tasks.get({.Name = "admin", .MaxSockets = 128})),
         Trail(MaxAuditEntries) {
+    this->listenOn(Context.Settings.Admin);
+    if (Context.Settings.Ready)
+      this->listenOn(*Context.Settings.Ready);
     Context.Counters.set(Metric::Incarnation, "",
                          static_cast<double>(Context.Life.value()));
   }
 
   Result<std::monostate> prepare() override {
-    const NodeSettings &Settings = this->Context.Settings;
-    if (!this->Server.listening())
-      return makeError(Errc::Unreachable, "listen for operators",
-                       Settings.AdminIp.str() + ":" +
-                           std::to_string(Settings.AdminPort),
-                       "the port can't be bound");
+    for (const auto &Each : this->Servers)
+      if (!Each->listening())
+        return makeError(Errc::Unreachable, "listen for operators", "",
+                         "an address can't be bound");
     NodeBus &Bus = this->Context.Bus;
     Bus.Audit.subscribe(this->Owner, [this](const AuditEvent &Event) {
       this->Trail.add(Event, std::chrono::system_clock::now());
     });
+    Bus.Stop.subscribe(this->Owner,
+                       [this](const StopMessage &) { this->Stopping = true; });
     Bus.Status.subscribe(this->Owner, [this](const ControlStatus &Status) {
       this->Status = Status;
     });
     return std::monostate();
   }
 
-  void start() override { this->Owner.start(); }
-
-  void stop() override {
-    this->Owner.stop();
-    this->Owner.join();
+private:
+  void listenOn(const Endpoint &Local) {
+    const size_t Index = this->Servers.size();
+    this->Servers.push_back(std::make_unique<HttpServer>(
+        this->Owner,
+        HttpServerOptions{
+            .Name = "admin",
+            .Local = Local,
+            .Limits = {.Message = {.MaxBodyBytes = MaxRequestBytes}}},
+        HttpServerEvents{
+            .Requested =
+                [this, Index](ExchangeId Id, const HttpRequest &Request,
+                              const Endpoint &) {
+                  this->Servers[Index]->respond(Id, this->answer(Request));
+                },
+            .Aborted = [](ExchangeId) {},
+            .Malformed =
+                [this](const Error &Failure) {
+                  logError(LogLevel::Warning, Failure);
+                  this->Context.Counters.add(Metric::Malformed, "admin");
+                }}));
   }
 
-private:
-  void answer(ExchangeId Id, const HttpRequest &Request) {
+  HttpResponse answer(const HttpRequest &Request) const {
     const std::string Path = pathOf(Request.Target);
     HttpResponse Response{.Status = 200};
     Response.Headers = {{"content-type", "application/json"}};
@@ -74,11 +79,20 @@
       Response.Body = this->statusJson();
     } else if (Path == "/audit") {
       Response.Body = this->Trail.json();
+    } else if (Path == "/ready") {
+      Response.Status = this->ready() ? 200 : 503;
     } else {
       Response.Status = 404;
-      Response.Body = R"({"error":"expected /metrics, /status or /audit"})";
+      Response.Body =
+          R"({"error":"expected /metrics, /status, /audit or /ready"})";
     }
-    this->Server.respond(Id, std::move(Response));
+    return Response;
+  }
+
+  /** Returns true when requests of callers can be served. */
+  bool ready() const {
+    return !this->Stopping && !this->Status.Config.none() &&
+           !this->Status.VmList.none();
   }
 
   std::string statusJson() const {
@@ -100,6 +114,7 @@
                    {"applied_us", AppliedAt.count()},
                    {"vm_list", Known.VmList.Number.value()},
                    {"settled", Known.Settled},
+                   {"ready", this->ready()},
                    {"rank", Known.Rank},
                    {"nodes", Known.Nodes},
                    {"incarnation", this->Context.Life.value()},
@@ -110,10 +125,11 @@
   }
 
   NodeContext &Context;
-  Task Owner;
-  HttpServer Server;
+  Task &Owner;
+  std::vector<std::unique_ptr<HttpServer>> Servers;
   AuditTrail Trail;
   ControlStatus Status;
+  bool Stopping = false;
 };
 
 const NodePluginRegistry::Registration<AdminPlugin> Registered("admin");
--- a/src/plugins/nodebus.h
+++ b/src/plugins/nodebus.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLBARROW_PLUGINS_NODEBUS_H
 #define BLUEBELLBARROW_PLUGINS_NODEBUS_H
 
+#include "kernel/nodesettings.h"
 #include "kernel/task.h"
 #include "plugins/audit/auditevent.h"
 #include "plugins/membership/memberannouncement.h"
@@ -19,6 +20,11 @@
   std::shared_ptr<const Snapshot> Current;
 };
 
+/** The file of settings has changed. */
+struct SettingsMessage {
+  std::shared_ptr<const NodeSettings> Current;
+};
+
 /** The node's own state has changed. */
 struct OwnStateMessage {
   MemberState State = MemberState::Starting;
@@ -45,6 +51,7 @@
   std::map<VersionId, std::string> Refused;
   MemberState State = MemberState::Starting;
   bool Settled = false;
+
   size_t Rank = 0;
   size_t Nodes = 0;
 };
@@ -53,6 +60,7 @@
 struct NodeBus {
   Topic<SnapshotMessage> Snapshots;
   Topic<MemberAnnouncement> Announcements;
+  Topic<SettingsMessage> Settings;
   Topic<OwnStateMessage> OwnState;
   Topic<StopMessage> Stop;
   Topic<StoppedMessage> Stopped;
--- a/src/plugins/nodeplugin.h
+++ b/src/plugins/nodeplugin.h
@@ -4,6 +4,7 @@
 #include "kernel/error.h"
 #include "kernel/nodesettings.h"
 #include "kernel/registry.h"
+#include "kernel/taskpool.h"
 #include "nodebus.h"
 
 #include <variant>
@@ -14,7 +15,10 @@
 
 /** What every plug-in of a node gets; outlives the plug-ins. */
 struct NodeContext {
+  /** Settings at the start; SettingsMessage brings later ones. */
   const NodeSettings &Settings;
+
+  TaskPool &Tasks;
   NodeBus &Bus;
   Metrics &Counters;
 
@@ -23,10 +27,11 @@
 };
 
 /**
- * A part of a node with a task of its own. Created by name from the registry.
+ * A part of a node that runs on a task of its own or on one that the parts
+ * share. Created by name from the registry.
  *
- * Thread safety: every method is called from the main thread, in the order
- * of their declaration.
+ * Thread safety: prepare() is called from the main thread before any task
+ * runs.
  */
 class NodePlugin {
 public:
@@ -34,12 +39,6 @@
 
   /** Opens sockets and subscribes to messages; no task runs yet. */
   virtual Result<std::monostate> prepare() = 0;
-
-  /** Starts the task. */
-  virtual void start() = 0;
-
-  /** Ends the task and waits for it. */
-  virtual void stop() = 0;
 };
 
 using NodePluginRegistry = Registry<NodePlugin, NodeContext &>;
--- a/src/plugins/peer/peerclient.cpp
+++ b/src/plugins/peer/peerclient.cpp
@@ -1,5 +1,6 @@
 #include "peerclient.h"
 
+#include "kernel/log.h"
 #include "kernel/task.h"
 #include "peercodec.h"
 
@@ -7,7 +8,15 @@
 
 namespace {
 
-constexpr Duration GreetingLimit = milliseconds(500);
+/** Time in which a peer must greet. */
+constexpr Duration GreetingLimit = milliseconds(300);
+
+/** Silence with open requests after which a peer is asked for a sign. */
+constexpr Duration SilenceLimit = milliseconds(150);
+
+/** Time in which a ping must be answered. */
+constexpr Duration PongLimit = milliseconds(400);
+
 constexpr Duration IdleLimit = seconds(60);
 
 } // namespace
@@ -49,6 +58,7 @@
   New.Ip = Upstream.Ip;
   New.Opened = Now;
   New.LastUse = Now;
+  New.LastReceived = Now;
   const HelloMessage Hello{.Mesh = this->Self.Mesh,
                            .Name = this->Self.Name,
                            .Life = this->Self.Life,
@@ -76,6 +86,7 @@
   Known->second.ForLife = Target.Life;
   if (this->Streams.send(Stream, peerFrame(PeerFrame::Request, Message))) {
     Known->second.Written = true;
+    Target.Open += 1;
     return;
   }
   this->Requests.erase(Known);
@@ -130,22 +141,27 @@
   if (Known == this->Links.end())
     return;
   Link &Source = Known->second;
+  Source.LastReceived = Task::now();
+  Source.Pinged.reset();
   if (!Source.Greeted) {
     this->onHello(Stream, Source, Value);
     return;
   }
   ReplyMessage Reply;
   CancelReplyMessage Cancelled;
+  PongMessage Pong;
   if (readPeerFrame(Value, PeerFrame::Reply, Reply)) {
     this->Events.Load(Source.Name, Reply.Load);
     const auto Request = this->Requests.find(Reply.Number);
     if (Request == this->Requests.end() || Request->second.Stream != Stream)
       return;
-    this->Requests.erase(Request);
+    this->forget(Reply.Number);
     this->Events.Reply(Reply);
   } else if (readPeerFrame(Value, PeerFrame::CancelReply, Cancelled)) {
     if (this->Requests.contains(Cancelled.Number))
       this->Events.CancelReply(Cancelled);
+  } else if (readPeerFrame(Value, PeerFrame::Pong, Pong)) {
+    this->Events.Load(Source.Name, Pong.Load);
   } else {
     this->malformed(Stream, Source, "malformed message");
   }
@@ -181,11 +197,40 @@
     this->Events.Lost(Number);
 }
 
+void PeerClient::forget(RequestNumber Number) {
+  const auto Known = this->Requests.find(Number);
+  if (Known == this->Requests.end())
+    return;
+  const auto Used = this->Links.find(Known->second.Stream);
+  if (Known->second.Written && Used != this->Links.end() &&
+      Used->second.Open > 0)
+    Used->second.Open -= 1;
+  this->Requests.erase(Known);
+}
+
+void PeerClient::pollSilence(StreamId Stream, Link &Target, TimePoint Now) {
+  if (Target.Pinged && Now - *Target.Pinged > PongLimit) {
+    logEvent(LogLevel::Warning, "peer is silent",
+             {{"peer", Target.Ip.str()},
+              {"open_requests", Target.Open},
+              {"silent_ms", toMilliseconds(Now - Target.LastReceived)}});
+    this->Streams.close(Stream);
+    return;
+  }
+  const bool Silent = Now - Target.LastReceived > SilenceLimit;
+  if (!Silent || Target.Pinged || Target.Open == 0)
+    return;
+  Target.Pinged = Now;
+  this->Streams.send(Stream, peerFrame(PeerFrame::Ping, PingMessage()));
+}
+
 void PeerClient::poll(TimePoint Now) {
-  for (const auto &[Stream, Each] : this->Links) {
-    const bool Silent = !Each.Greeted && Now - Each.Opened > GreetingLimit;
-    if (Silent || Now - Each.LastUse > IdleLimit)
+  for (auto &[Stream, Each] : this->Links) {
+    const bool Mute = !Each.Greeted && Now - Each.Opened > GreetingLimit;
+    if (Mute || Now - Each.LastUse > IdleLimit)
       this->Streams.close(Stream);
+    else if (Each.Greeted)
+      this->pollSilence(Stream, Each, Now);
   }
 }
 
--- a/src/plugins/peer/peerclient.h
+++ b/src/plugins/peer/peerclient.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,9 +62,12 @@
                   TimePoint Now);
 
   /** Forgets a request; nothing more is reported for it. */
-  void forget(RequestNumber Number) { this->Requests.erase(Number); }
+  void forget(RequestNumber Number);
 
-  /** Closes streams whose peer does not greet, and idle ones. */
+  /**
+   * Closes streams whose peer does not greet or is silent while requests are
+   * open, and idle ones.
+   */
   void poll(TimePoint Now);
 
 private:
@@ -75,6 +79,14 @@
     Incarnation Life;
     TimePoint Opened;
     TimePoint LastUse;
+    TimePoint LastReceived;
+
+    /** When a ping was sent that is not answered; none when unset. */
+    std::optional<TimePoint> Pinged;
+
+    /** Requests that were written and have not ended. */
+    size_t Open = 0;
+
     std::vector<Pending> Waiting;
     bool Greeted = false;
   };
@@ -88,6 +100,7 @@
 
   Link &linkTo(const Vm &Upstream, StreamId &Stream, TimePoint Now);
   void onReceived(StreamId Stream, const Frame &Value);
+  void pollSilence(StreamId Stream, Link &Target, TimePoint Now);
   bool onHello(StreamId Stream, Link &Source, const Frame &Value);
   void onClosed(StreamId Stream);
   void write(StreamId Stream, Link &Target, RequestMessage &Message);
--- a/src/plugins/peer/peermessages.h
+++ b/src/plugins/peer/peermessages.h
@@ -40,10 +40,18 @@
   uint16_t SlotsUsed = 0;
   uint16_t Slots = 0;
   uint16_t Queued = 0;
+
+  /** Microseconds that a request which goes last would wait. */
+  uint32_t WaitMicros = 0;
+
   MemberState State = MemberState::Starting;
 
+  /** The target that runs there; empty where the platform does not say. */
+  TargetId Target;
+
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->SlotsUsed, this->Slots, this->Queued, this->State);
+    Ar(this->SlotsUsed, this->Slots, this->Queued, this->WaitMicros,
+       this->State, this->Target);
   }
 };
 
@@ -66,12 +74,24 @@
   /** Life of the process that is meant to run the request. */
   Incarnation ForLife;
 
+  /** Target that is meant to run it; empty for any. */
+  TargetId Target;
+
   ServiceName Service;
   RouteName Route;
 
+  /** Service of the VM at which the call began. */
+  ServiceName Caller;
+
   /** Microseconds until the caller's deadline. */
   uint64_t Remaining = 0;
 
+  /** Microseconds in which an answer is of full use. */
+  uint64_t AimRemaining = 0;
+
+  /** Rank among requests that wait; 0 goes first. */
+  uint8_t Priority = 0;
+
   bool Idempotent = false;
 
   /** Calls that led to this one. */
@@ -80,7 +100,8 @@
   HttpRequest Call;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Number, this->ForLife, this->Service, this->Route, this->Remaining,
+    Ar(this->Number, this->ForLife, this->Target, this->Service, this->Route,
+       this->Caller, this->Remaining, this->AimRemaining, this->Priority,
        this->Idempotent, this->Depth, this->Call);
   }
 };
@@ -96,12 +117,22 @@
   /** Forbids a retry by the nodes above. */
   bool NoRetry = false;
 
+  /** The request was handed to the target, whatever became of it. */
+  bool ReachedTarget = false;
+
+  /** Microseconds after which a refused request may find room. */
+  uint32_t RetryAfterMicros = 0;
+
+  /** Microseconds that the target took. */
+  uint32_t RunMicros = 0;
+
   HttpResponse Answer;
   LoadReport Load;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Number, this->Result, this->Reason, this->NoRetry, this->Answer,
-       this->Load);
+    Ar(this->Number, this->Result, this->Reason, this->NoRetry,
+       this->ReachedTarget, this->RetryAfterMicros, this->RunMicros,
+       this->Answer, this->Load);
   }
 };
 
@@ -127,6 +158,18 @@
   }
 };
 
+/** Asks a silent peer to show that it lives. */
+struct PingMessage {
+  template <typename Archive> void serialize(Archive &) {}
+};
+
+/** Answers a ping. */
+struct PongMessage {
+  LoadReport Load;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(this->Load); }
+};
+
 /** Kinds of frames between nodes that carry calls. */
 enum class PeerFrame : uint8_t {
   Hello = 1,
@@ -134,6 +177,8 @@
   Reply = 3,
   Cancel = 4,
   CancelReply = 5,
+  Ping = 6,
+  Pong = 7,
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/peer/peerserver.cpp
+++ b/src/plugins/peer/peerserver.cpp
@@ -59,10 +59,15 @@
   const Origin From = Known->second;
   RequestMessage Request;
   CancelMessage Cancel;
+  PingMessage Ping;
   if (readPeerFrame(Value, PeerFrame::Request, Request))
     this->onRequest(Stream, From, Request);
   else if (readPeerFrame(Value, PeerFrame::Cancel, Cancel))
     this->onCancel(Stream, From, Cancel);
+  else if (readPeerFrame(Value, PeerFrame::Ping, Ping))
+    this->Streams.send(
+        Stream,
+        peerFrame(PeerFrame::Pong, PongMessage{.Load = this->Events.Load()}));
   else
     this->malformed(Stream, "malformed message");
 }
--- /dev/null
+++ b/src/plugins/platform/keyvaluestore.h
@@ -0,0 +1,106 @@
+#ifndef BLUEBELLBARROW_PLATFORM_KEYVALUESTORE_H
+#define BLUEBELLBARROW_PLATFORM_KEYVALUESTORE_H
+
+#include "kernel/clock.h"
+#include "kernel/error.h"
+#include "tree/settingstree.h"
+#include "tree/vmlist.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** One key as a store holds it, or its removal. */
+struct StoreItem {
+  std::string Key;
+
+  /** Nothing when the key was removed. */
+  std::optional<std::string> Value;
+
+  /** Revision of the store at the key's last change. */
+  uint64_t Revision = 0;
+};
+
+/** How a read of a store ended. */
+enum class StoreEnd {
+  Good,
+
+  /** The changes asked for are no longer kept; everything must be read. */
+  HistoryGone,
+
+  Failed,
+};
+
+/** The end of a read: items, or changes in their order. */
+struct StoreAnswer {
+  StoreEnd End = StoreEnd::Failed;
+  std::vector<StoreItem> Items;
+
+  /** Revision of the store at the answer. */
+  uint64_t Revision = 0;
+
+  /** More items follow after the last one. */
+  bool More = false;
+
+  /** What went wrong, when End is Failed. */
+  std::string Cause;
+};
+
+/**
+ * A store of keys and values with one counter of revisions, read over the
+ * network.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class KeyValueStore {
+public:
+  using Done = std::function<void(StoreAnswer)>;
+
+  virtual ~KeyValueStore() = default;
+
+  /** Reads the items after \a After, in the order of keys. */
+  virtual void readItems(const std::string &After, Done OnDone) = 0;
+
+  /**
+   * Reads the changes since revision \a Since; waits for the first one for
+   * \a Wait at most.
+   */
+  virtual void awaitChanges(uint64_t Since, Duration Wait, Done OnDone) = 0;
+};
+
+/** A configuration as a store holds it. */
+struct StoredConfig {
+  VersionNumber Number;
+  BranchTexts Branches;
+};
+
+/** What a key of a store holds. */
+enum class StoreKey { Config, Target, Other };
+
+/**
+ * The meaning of a store's keys and values.
+ *
+ * Thread safety: immutable, safe.
+ */
+class StoreSchema {
+public:
+  virtual ~StoreSchema() = default;
+
+  virtual StoreKey classify(const std::string &Key) const = 0;
+
+  /** Reads a Config. \a Mesh names the tree. Errors: what is malformed. */
+  virtual Result<StoredConfig> readConfig(const std::string &Value,
+                                          const std::string &Mesh) const = 0;
+
+  /** Reads a Target with its VM. Errors: what is malformed. */
+  virtual Result<Vm> readTarget(const std::string &Key,
+                                const std::string &Value) const = 0;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_PLATFORM_KEYVALUESTORE_H
--- a/src/plugins/platform/platformclient.cpp
+++ b/src/plugins/platform/publishedsource.cpp
@@ -1,4 +1,6 @@
-#include "platformclient.h"
+#include "publishedsource.h"
+
+#include "kernel/task.h"
 
 #include <charconv>
 
@@ -14,15 +16,13 @@
 /** Time that an answer may take beyond the time for which it may wait. */
 constexpr Duration AnswerLimit = seconds(2);
 
-HttpClientOptions clientOptions(const PlatformClientOptions &Options,
+HttpClientOptions clientOptions(const PlatformSourceOptions &Options,
                                 const std::string &Name, size_t Slots) {
   return {.Name = Name,
           .LocalIp = Options.LocalIp,
-          .Ip = Options.Ip,
-          .Port = Options.Port,
+          .Remote = Options.Platform,
           .Slots = Slots,
-          .MaxBodyBytes = MaxValueBytes,
-          .CustomHeaders = {RevisionHeader}};
+          .MaxBodyBytes = MaxValueBytes};
 }
 
 std::string targetOf(const ReadPlatform &What) {
@@ -32,14 +32,25 @@
          "&wait-ms=" + std::to_string(toMilliseconds(What.Wait));
 }
 
+HttpRequest getRequest(const std::string &Target, const std::string &Host) {
+  return {.Method = "GET",
+          .Target = Target,
+          .Headers = {{"Host", Host}},
+          .Body = {}};
+}
+
+const PlatformSourceRegistry::Registration<PublishedSource>
+    Registered("published");
+
 } // namespace
 
-PlatformClient::PlatformClient(Task &Owner,
-                               const PlatformClientOptions &Options)
-    : Watches(Owner, clientOptions(Options, "platform-watch", WatchSlots)),
-      Parts(Owner, clientOptions(Options, "platform-part", PartSlots)) {}
+PublishedSource::PublishedSource(const PlatformSourceOptions &Options)
+    : Owner(Options.Owner),
+      Watches(Owner, clientOptions(Options, "platform-watch", WatchSlots)),
+      Parts(Owner, clientOptions(Options, "platform-part", PartSlots)),
+      Host(Options.Platform.text()) {}
 
-ReadResult PlatformClient::toResult(const CallResult &Result) {
+ReadResult PublishedSource::toResult(const CallResult &Result) {
   if (Result.End != CallEnd::Answered)
     return {.End = ReadEnd::Failed, .Cause = Result.Cause};
   const HttpResponse &Response = Result.Response;
@@ -58,20 +69,21 @@
   return Value;
 }
 
-void PlatformClient::read(const ReadPlatform &What, Done OnDone) {
+void PublishedSource::read(const ReadPlatform &What, Done OnDone) {
   if (this->Watches.busy() == this->Watches.slots()) {
-    OnDone({.End = ReadEnd::Failed, .Cause = "too many reads"});
+    this->Owner.post([OnDone = std::move(OnDone)] {
+      OnDone({.End = ReadEnd::Failed, .Cause = "too many reads"});
+    });
     return;
   }
-  this->Watches.call(
-      {.Method = "GET", .Target = targetOf(What), .Headers = {}, .Body = {}},
-      What.Wait + AnswerLimit,
-      [OnDone = std::move(OnDone)](const CallResult &Result) {
-        OnDone(toResult(Result));
-      });
+  this->Watches.call(getRequest(targetOf(What), this->Host),
+                     What.Wait + AnswerLimit,
+                     [OnDone = std::move(OnDone)](const CallResult &Result) {
+                       OnDone(toResult(Result));
+                     });
 }
 
-void PlatformClient::readPart(const Digest &Hash, Done OnDone) {
+void PublishedSource::readPart(const Digest &Hash, Done OnDone) {
   const std::string Target = "/v1/values/" + Hash.str();
   if (this->Parts.busy() < this->Parts.slots())
     this->startPart(Target, std::move(OnDone));
@@ -79,10 +91,9 @@
     this->Queue.push_back({Target, std::move(OnDone)});
 }
 
-void PlatformClient::startPart(const std::string &Target, Done OnDone) {
+void PublishedSource::startPart(const std::string &Target, Done OnDone) {
   this->Parts.call(
-      {.Method = "GET", .Target = Target, .Headers = {}, .Body = {}},
-      AnswerLimit,
+      getRequest(Target, this->Host), AnswerLimit,
       [this, OnDone = std::move(OnDone)](const CallResult &Result) {
         OnDone(toResult(Result));
         if (this->Queue.empty())
--- a/src/plugins/routing/balancer.h
+++ b/src/plugins/routing/balancer.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLBARROW_ROUTING_BALANCER_H
 #define BLUEBELLBARROW_ROUTING_BALANCER_H
 
+#include "kernel/clock.h"
 #include "kernel/registry.h"
 #include "tree/vmlist.h"
 
@@ -16,6 +17,15 @@
   /** Work per slot: 0 is idle, above 1 means that requests wait. */
   double Load = 0;
 
+  /** Time that the request would wait for a slot. */
+  Duration Wait{};
+
+  /** Time that the target would take for the request. */
+  Duration Run{};
+
+  /** Time within which an answer is of full use. */
+  Duration Aim{};
+
   /** Share of recent calls that failed, from 0 to 1. */
   double ErrorRate = 0;
 
--- a/src/plugins/routing/exchange.cpp
+++ b/src/plugins/routing/exchange.cpp
@@ -16,6 +16,15 @@
 /** Shortest time that an idempotent attempt gets before the next one. */
 constexpr Duration MinAttemptTime = milliseconds(50);
 
+/** Usual runs after which an idempotent attempt counts as lost. */
+constexpr int OverdueRuns = 4;
+
+/** Upstreams that may refuse a request before its caller is refused. */
+constexpr int MaxRefusals = 4;
+
+/** Time to come back when no upstream said one. */
+constexpr Duration DefaultRetryAfter = milliseconds(200);
+
 constexpr int FirstServerError = 500;
 
 } // namespace
@@ -31,54 +40,78 @@
 
 TimePoint Exchange::attemptDeadline(TimePoint Now) const {
   const TimePoint Last = this->Options.Deadline + ReplyGrace;
-  const bool MayRetry = this->Options.Rules.Idempotent &&
-                        this->LastAttempt <= this->Options.Rules.Retries &&
+  const Policy &Rules = *this->Options.Rules;
+  const bool MayRetry = Rules.Idempotent && this->Arrivals < Rules.Retries &&
                         this->Options.IdempotencyKey.empty();
   if (!MayRetry)
     return Last;
   const Duration Share =
-      (this->Options.Deadline - Now) / (this->Options.Rules.Retries + 1);
-  return std::min(Last, Now + std::max(Share, MinAttemptTime));
+      (this->Options.Deadline - Now) / (Rules.Retries - this->Arrivals + 1);
+  const Duration Usual =
+      OverdueRuns * this->Routes.usualRun(this->Options.Route);
+  return std::min(Last, Now + std::max({Share, Usual, MinAttemptTime}));
 }
 
 ExchangeActions Exchange::tryNext(TimePoint Now) {
   const Vm *Next =
       this->Options.IdempotencyKey.empty()
-          ? this->Routes.pick(this->Options.Service, this->Options.Rules,
-                              this->Tried, Now)
-          : Router::ownerOf(this->Options.Service,
+          ? this->Routes.pick(*this->Options.Service, this->Options.Route,
+                              *this->Options.Rules, this->Tried, Now)
+          : Router::ownerOf(*this->Options.Service,
                             this->Options.IdempotencyKey);
   if (Next == nullptr)
     return this->fail(this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
                       "no upstream takes work", false);
   this->Current = *Next;
-  this->Tried.push_back(Next->Name);
+  this->Tried.push_back(Next->id());
   this->LastAttempt += 1;
   this->Resolving = false;
   this->NextDeadline = this->attemptDeadline(Now);
-  this->Routes.onSent(Next->Name);
+  this->Routes.onSent(Next->id(), Now);
   return {StartAttempt{.Attempt = this->LastAttempt, .Upstream = *Next}};
 }
 
 void Exchange::endAttempt(AttemptEnd End, TimePoint Now) {
-  this->Routes.onEnd(this->Current->Name, End, Now);
+  this->Routes.onEnd(this->Current->id(), End, Now);
   this->Current.reset();
+  const bool Arrived =
+      End != AttemptEnd::Refused && End != AttemptEnd::Unreachable;
+  this->Arrivals += Arrived ? 1 : 0;
 }
 
 ExchangeActions Exchange::fail(Outcome Result, const std::string &Reason,
                                bool Late) {
   this->Done = true;
-  return {FailCall{.Result = Result, .Reason = Reason, .Late = Late}};
+  return {FailCall{.Result = Result,
+                   .Reason = Reason,
+                   .Late = Late,
+                   .RetryAfter = this->RetryAfter.value_or(DefaultRetryAfter)}};
+}
+
+ExchangeActions Exchange::placeElsewhere(const AttemptReply &Reply,
+                                         TimePoint Now) {
+  this->Refusals += 1;
+  if (Reply.RetryAfter > Duration::zero())
+    this->RetryAfter =
+        std::min(this->RetryAfter.value_or(Reply.RetryAfter), Reply.RetryAfter);
+  const bool Allowed = !Reply.NoRetry && this->Refusals < MaxRefusals &&
+                       this->Options.IdempotencyKey.empty() &&
+                       Now < this->Options.Deadline;
+  if (Allowed)
+    return this->tryNext(Now);
+  return this->fail(this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                    Reply.Reason, Now >= this->Options.Deadline);
 }
 
 ExchangeActions Exchange::retryOrFail(Outcome Result, const std::string &Reason,
                                       bool NoRetry, TimePoint Now) {
   if (Result == Outcome::Unknown)
     this->MayHaveRun = true;
-  const bool Safe = Result == Outcome::NotRun || this->Options.Rules.Idempotent;
+  const bool Safe =
+      Result == Outcome::NotRun || this->Options.Rules->Idempotent;
   const bool Allowed = Safe && !NoRetry &&
                        this->Options.IdempotencyKey.empty() &&
-                       this->LastAttempt <= this->Options.Rules.Retries &&
+                       this->Arrivals <= this->Options.Rules->Retries &&
                        Now < this->Options.Deadline;
   if (Allowed && this->Budget.tryWithdraw(Now))
     return this->tryNext(Now);
@@ -86,36 +119,39 @@
                     Now >= this->Options.Deadline);
 }
 
-ExchangeActions Exchange::onReply(int Attempt, Outcome Result, int Status,
-                                  const std::string &Reason, bool NoRetry,
+ExchangeActions Exchange::onReply(int Attempt, const AttemptReply &Reply,
                                   TimePoint Now) {
   if (!this->isCurrent(Attempt))
     return {};
-  if (Result == Outcome::Answered) {
-    this->endAttempt(Status >= FirstServerError ? AttemptEnd::Failed
-                                                : AttemptEnd::Good,
+  if (Reply.Result == Outcome::Answered) {
+    this->endAttempt(Reply.Status >= FirstServerError ? AttemptEnd::Failed
+                                                      : AttemptEnd::Good,
                      Now);
     this->Done = true;
     return {ForwardAnswer{Attempt}};
   }
-  this->endAttempt(Result == Outcome::NotRun ? AttemptEnd::Refused
-                                             : AttemptEnd::Failed,
+  if (Reply.Result == Outcome::NotRun && !Reply.ReachedTarget) {
+    this->endAttempt(AttemptEnd::Refused, Now);
+    return this->placeElsewhere(Reply, Now);
+  }
+  this->endAttempt(Reply.Result == Outcome::NotRun ? AttemptEnd::Shed
+                                                   : AttemptEnd::Failed,
                    Now);
-  return this->retryOrFail(Result, Reason, NoRetry, Now);
+  return this->retryOrFail(Reply.Result, Reply.Reason, Reply.NoRetry, Now);
 }
 
 ExchangeActions Exchange::onNotSent(int Attempt, TimePoint Now) {
   if (!this->isCurrent(Attempt))
     return {};
   this->endAttempt(AttemptEnd::Unreachable, Now);
-  return this->retryOrFail(Outcome::NotRun, "upstream can't be reached", false,
-                           Now);
+  return this->placeElsewhere(
+      {.Result = Outcome::NotRun, .Reason = "upstream can't be reached"}, Now);
 }
 
 ExchangeActions Exchange::onLost(int Attempt, TimePoint Now) {
   if (!this->isCurrent(Attempt))
     return {};
-  if (this->Resolving || this->Options.Rules.Idempotent) {
+  if (this->Resolving || this->Options.Rules->Idempotent) {
     this->endAttempt(AttemptEnd::Failed, Now);
     return this->retryOrFail(Outcome::Unknown, "connection to upstream broke",
                              false, Now);
@@ -133,7 +169,8 @@
   switch (State) {
   case CancelState::NotRun:
     this->endAttempt(AttemptEnd::Refused, Now);
-    return this->retryOrFail(Outcome::NotRun, "cancelled", false, Now);
+    return this->placeElsewhere(
+        {.Result = Outcome::NotRun, .Reason = "cancelled"}, Now);
   case CancelState::Running:
     this->Resolving = false;
     this->NextDeadline = this->Options.Deadline + ReplyGrace;
--- a/src/plugins/routing/exchange.h
+++ b/src/plugins/routing/exchange.h
@@ -4,6 +4,7 @@
 #include "retrybudget.h"
 #include "router.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -40,6 +41,9 @@
 
   /** True when the deadline was the cause. */
   bool Late = false;
+
+  /** Time after which the caller may find room; for NotRun. */
+  Duration RetryAfter{};
 };
 
 using ExchangeAction =
@@ -47,10 +51,33 @@
 
 using ExchangeActions = std::vector<ExchangeAction>;
 
+/** How the upstream's node ended an attempt. */
+struct AttemptReply {
+  Outcome Result = Outcome::Unknown;
+
+  /** Status of the answer, when Result is Answered. */
+  int Status = 0;
+
+  std::string Reason;
+
+  /** Forbids another attempt. */
+  bool NoRetry = false;
+
+  /** The attempt was handed to the target. */
+  bool ReachedTarget = false;
+
+  /** Time after which the upstream may have room. */
+  Duration RetryAfter{};
+};
+
 /** What an exchange needs to know of its call. */
 struct ExchangeOptions {
-  ServiceEntry Service;
-  Policy Rules;
+  /** Keeps Service and Rules alive. */
+  std::shared_ptr<const Snapshot> Map;
+
+  const ServiceEntry *Service = nullptr;
+  const Policy *Rules = nullptr;
+  RouteName Route;
   TimePoint Deadline;
 
   /** Key of the caller; the request goes only to the key's owner. */
@@ -61,8 +88,10 @@
  * The life of one call at the node that the caller reached: which upstream to
  * try, when to try another, and what may truthfully be said in the end.
  *
- * Another attempt is made only when the one before is known not to have run,
- * or when the route is idempotent; within the retry budget and the deadline.
+ * An attempt that an upstream's node refuses has cost the target nothing and
+ * is placed elsewhere. One that reached a target is repeated only when it is
+ * known not to have run, or when the route is idempotent; within the route's
+ * retries, the retry budget and the deadline.
  * A decision object. Thread safety: none; owned by one task.
  */
 class Exchange {
@@ -73,9 +102,8 @@
 
   ExchangeActions start(TimePoint Now);
 
-  /** The upstream's node ended the attempt. \a Status is the answer's. */
-  ExchangeActions onReply(int Attempt, Outcome Result, int Status,
-                          const std::string &Reason, bool NoRetry,
+  /** The upstream's node ended the attempt. */
+  ExchangeActions onReply(int Attempt, const AttemptReply &Reply,
                           TimePoint Now);
 
   /** Nothing of the attempt was handed to the system. */
@@ -102,6 +130,7 @@
 
 private:
   ExchangeActions tryNext(TimePoint Now);
+  ExchangeActions placeElsewhere(const AttemptReply &Reply, TimePoint Now);
   ExchangeActions retryOrFail(Outcome Result, const std::string &Reason,
                               bool NoRetry, TimePoint Now);
   ExchangeActions fail(Outcome Result, const std::string &Reason, bool Late);
@@ -113,9 +142,18 @@
   Router &Routes;
   RetryBudget &Budget;
   std::optional<Vm> Current;
-  std::vector<VmName> Tried;
+  std::vector<UpstreamId> Tried;
   int LastAttempt = 0;
 
+  /** Attempts that reached a target, or may have. */
+  int64_t Arrivals = 0;
+
+  /** Attempts that upstreams' nodes refused. */
+  int Refusals = 0;
+
+  /** Shortest time after which a refusing upstream may have room. */
+  std::optional<Duration> RetryAfter;
+
   /** True once an attempt may have run, so "not run" can't be said. */
   bool MayHaveRun = false;
 
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -3,40 +3,17 @@
 #include "kernel/hashing.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
-#include <tuple>
 #include <vector>
 
 namespace bluebellbarrow {
 
 namespace {
 
-constexpr int FailuresToEject = 5;
-constexpr Duration FirstEjection = seconds(1);
-constexpr Duration FirstUnreachable = milliseconds(250);
-constexpr Duration MaxEjection = seconds(30);
-constexpr int MaxDoublings = 7;
+constexpr const char *DefaultBalancer = "two-choices";
 
-/** Weight of the newest call in an upstream's error rate. */
-constexpr double ErrorWeight = 0.1;
-
-/** Age at which a reported load counts half. */
-constexpr Duration LoadHalfLife = milliseconds(500);
-
-/** Share of its weight that a cold target starts with. */
-constexpr double ColdShare = 0.1;
-
-bool contains(std::span<const VmName> Names, const VmName &Name) {
-  return std::find(Names.begin(), Names.end(), Name) != Names.end();
-}
-
-double seconds01(Duration Part, Duration Whole) {
-  if (Whole <= Duration::zero())
-    return 1;
-  return std::clamp(static_cast<double>(Part.count()) /
-                        static_cast<double>(Whole.count()),
-                    0.0, 1.0);
+bool contains(std::span<const UpstreamId> Ids, const UpstreamId &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
 
 } // namespace
@@ -51,100 +28,81 @@
 void Router::setSnapshot(std::shared_ptr<const Snapshot> New, TimePoint Now) {
   const bool First = this->Current == nullptr;
   this->Current = std::move(New);
-  std::set<VmName> Listed;
+  std::set<UpstreamId> Listed;
   for (const ServiceEntry &Service : this->Current->Services)
     for (const Vm &Each : Service.Upstreams) {
-      Listed.insert(Each.Name);
-      const auto [Known, Added] = this->Views.emplace(Each.Name, View());
+      Listed.insert(Each.id());
+      const auto [Known, Added] =
+          this->Views.try_emplace(Each.id(), Each, First, Now);
       if (!Added)
-        continue;
-      Known->second.FirstSeen = Now;
-      Known->second.Warm = First;
+        Known->second.update(Each);
     }
   std::erase_if(this->Views, [&Listed](const auto &Each) {
-    return !Listed.contains(Each.first) && Each.second.InFlight == 0;
+    return !Listed.contains(Each.first) && Each.second.inFlight() == 0;
   });
 }
 
-void Router::onAnnouncement(const MemberAnnouncement &Announced) {
-  View &Target = this->Views[Announced.Name];
-  const auto Order = [](const MemberAnnouncement &Each) {
-    return std::tuple(Each.Life, Each.Sequence);
-  };
-  if (Target.HasAnnouncement && Order(Announced) <= Order(Target.Announced))
-    return;
-  if (Target.HasAnnouncement && Announced.Life > Target.Announced.Life) {
-    Target.FailuresInRow = 0;
-    Target.EjectedUntil = TimePoint();
-  }
-  Target.Announced = Announced;
-  Target.HasAnnouncement = true;
+UpstreamView *Router::find(const UpstreamId &Id) {
+  const auto Found = this->Views.find(Id);
+  return Found == this->Views.end() ? nullptr : &Found->second;
 }
 
-void Router::onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now) {
-  View &Target = this->Views[Name];
-  Target.Load = Load;
-  Target.LoadTime = Now;
+void Router::onAnnouncement(const MemberAnnouncement &Announced) {
+  for (auto &[Id, View] : this->Views)
+    if (Id.Name == Announced.Name)
+      View.onAnnouncement(Announced);
 }
 
-bool Router::takesWork(const Vm &Upstream) const {
-  const auto Found = this->Views.find(Upstream.Name);
-  if (Found == this->Views.end())
-    return !Upstream.Leaving;
-  const View &Known = Found->second;
-  const bool Reported = Known.LoadTime != TimePoint();
-  if (Reported && Known.Load.State != MemberState::Serving &&
-      Known.Load.State != MemberState::Starting)
-    return false;
-  if (Known.HasAnnouncement && Known.Announced.State != MemberState::Serving)
-    return false;
-  return !Upstream.Leaving;
+void Router::onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now) {
+  if (UpstreamView *View = this->find({.Name = Name, .Target = Load.Target}))
+    View->onLoad(Load, Now);
 }
 
-Candidate Router::candidate(const Vm &Upstream, const View &Known,
-                            const Policy &Rules, TimePoint Now) const {
-  const double Slots = std::max<double>(
-      1, Known.Load.Slots > 0 ? Known.Load.Slots
-                              : static_cast<double>(Rules.Slots));
-  const double Age = std::chrono::duration<double>(Now - Known.LoadTime) /
-                     std::chrono::duration<double>(LoadHalfLife);
-  const double Reported =
-      (Known.Load.SlotsUsed + Known.Load.Queued) * std::exp2(-Age);
-  const double Work =
-      std::max(Reported, static_cast<double>(Known.InFlight)) / Slots;
-  const double Warmth =
-      Known.Warm ? 1
-                 : std::max(ColdShare,
-                            seconds01(Now - Known.FirstSeen, Rules.SlowStart));
+Candidate Router::candidate(const Vm &Upstream, const UpstreamView &View,
+                            const RouteName &Route, const Policy &Rules,
+                            TimePoint Now) const {
+  const Duration Run = View.run(this->Work.of(Route), Rules, Now);
+  const Duration Aim =
+      Rules.Aim > Duration::zero() ? Rules.Aim : Rules.Deadline;
   return {.Upstream = &Upstream,
-          .Load = (Work + 1 / Slots) / Warmth,
-          .ErrorRate = Known.ErrorRate,
+          .Load = View.load(Rules, Now),
+          .Wait = View.wait(Rules, Run, Now),
+          .Run = Run,
+          .Aim = Aim,
+          .ErrorRate = View.errorRate(),
           .Own = Upstream.Name == this->Self,
           .Near = Upstream.Domain == this->Current->Domain};
 }
 
-const Vm *Router::pick(const ServiceEntry &Service, const Policy &Rules,
-                       std::span<const VmName> Excluded, TimePoint Now) {
+Balancer &Router::balancer(const std::string &Name) const {
+  const auto Found = this->Balancers.find(Name);
+  return Found == this->Balancers.end() ? *this->Balancers.at(DefaultBalancer)
+                                        : *Found->second;
+}
+
+const Vm *Router::pick(const ServiceEntry &Service, const RouteName &Route,
+                       const Policy &Rules,
+                       std::span<const UpstreamId> Excluded, TimePoint Now) {
   std::vector<Candidate> Healthy;
   std::vector<Candidate> Ejected;
   for (const Vm &Each : Service.Upstreams) {
-    if (contains(Excluded, Each.Name) || !this->takesWork(Each))
+    const UpstreamView *View = this->find(Each.id());
+    if (View == nullptr || contains(Excluded, Each.id()) || !View->takesWork())
       continue;
-    const View &Known = this->Views[Each.Name];
-    std::vector<Candidate> &Group =
-        Now < Known.EjectedUntil ? Ejected : Healthy;
-    Group.push_back(this->candidate(Each, Known, Rules, Now));
+    std::vector<Candidate> &Group = View->ejected(Now) ? Ejected : Healthy;
+    Group.push_back(this->candidate(Each, *View, Route, Rules, Now));
   }
+  // A request that was refused once had better come back later than go to an
+  // upstream that fails.
+  if (Healthy.empty() && !Excluded.empty())
+    return nullptr;
   const size_t Total = Healthy.size() + Ejected.size();
   const double MaxEjected = Rules.MaxEjected * static_cast<double>(Total);
   if (static_cast<double>(Ejected.size()) > MaxEjected || Healthy.empty())
     Healthy.insert(Healthy.end(), Ejected.begin(), Ejected.end());
   if (Healthy.empty())
     return nullptr;
-  const auto Named = this->Balancers.find(Rules.Balance);
-  Balancer &Chooser = Named == this->Balancers.end()
-                          ? *this->Balancers.at("two-choices")
-                          : *Named->second;
+  Balancer &Chooser = this->balancer(Rules.Balance);
   return Healthy[Chooser.choose(Healthy, this->Random)].Upstream;
 }
 
@@ -158,38 +116,27 @@
   return Owner == Service.Upstreams.end() ? nullptr : &*Owner;
 }
 
-void Router::onSent(const VmName &Name) { this->Views[Name].InFlight += 1; }
-
-void Router::onEnd(const VmName &Name, AttemptEnd End, TimePoint Now) {
-  View &Target = this->Views[Name];
-  Target.InFlight = std::max<int64_t>(0, Target.InFlight - 1);
-  if (End == AttemptEnd::Refused || End == AttemptEnd::Abandoned)
-    return;
-  const bool Good = End == AttemptEnd::Good;
-  Target.ErrorRate += ErrorWeight * ((Good ? 0.0 : 1.0) - Target.ErrorRate);
-  if (Good) {
-    Target.FailuresInRow = 0;
-    Target.Ejections = 0;
-    return;
-  }
-  Target.FailuresInRow += 1;
-  if (End == AttemptEnd::Unreachable)
-    this->eject(Target, FirstUnreachable, Now);
-  else if (Target.FailuresInRow >= FailuresToEject)
-    this->eject(Target, FirstEjection, Now);
+void Router::onSent(const UpstreamId &Id, TimePoint Now) {
+  if (UpstreamView *View = this->find(Id))
+    View->onSent(Now);
+}
+
+void Router::onEnd(const UpstreamId &Id, AttemptEnd End, TimePoint Now) {
+  if (UpstreamView *View = this->find(Id))
+    View->onEnd(End, Now);
 }
 
-void Router::eject(View &Target, Duration First, TimePoint Now) {
-  const int Doublings = std::min(Target.Ejections, MaxDoublings);
-  Target.Ejections += 1;
-  Target.EjectedUntil =
-      Now + std::min<Duration>(First * (1 << Doublings), MaxEjection);
+void Router::onRun(const UpstreamId &Id, const RouteName &Route,
+                   Duration Took) {
+  if (UpstreamView *View = this->find(Id))
+    View->onRun(Took, this->Work.of(Route));
+  this->Work.add(Route, Took);
 }
 
 size_t Router::ejectedCount(TimePoint Now) const {
   return static_cast<size_t>(std::count_if(
       this->Views.begin(), this->Views.end(),
-      [Now](const auto &Each) { return Now < Each.second.EjectedUntil; }));
+      [Now](const auto &Each) { return Each.second.ejected(Now); }));
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -3,8 +3,9 @@
 
 #include "balancer.h"
 #include "kernel/clock.h"
-#include "plugins/peer/peermessages.h"
 #include "tree/snapshot.h"
+#include "upstreamview.h"
+#include "workestimate.h"
 
 #include <map>
 #include <memory>
@@ -14,27 +15,10 @@
 
 namespace bluebellbarrow {
 
-/** How an attempt ended, as the router counts it. */
-enum class AttemptEnd {
-  Good,
-
-  /** Refused before it ran; says nothing about the target's health. */
-  Refused,
-
-  /** The target answered with an error, or the outcome is unknown. */
-  Failed,
-
-  /** No connection to the upstream's node. */
-  Unreachable,
-
-  /** Ended for a reason that lies with the caller. */
-  Abandoned,
-};
-
 /**
  * Knows what this node has seen of each upstream and picks one for a call:
  * leaves out those that drain, that failed lately or can't be reached, and
- * lets the service's balancer choose among the rest.
+ * lets the route's balancer choose among the rest.
  *
  * Thread safety: none; owned by one task.
  */
@@ -48,53 +32,48 @@
   /** Takes a node's own announcement. */
   void onAnnouncement(const MemberAnnouncement &Announced);
 
-  /** Takes the load of an upstream that came with a reply. */
+  /** Takes the load that the node on \a Name reports of its target. */
   void onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now);
 
   /**
    * Returns an upstream of \a Service that is not in \a Excluded, or null
    * when none takes work.
    */
-  const Vm *pick(const ServiceEntry &Service, const Policy &Rules,
-                 std::span<const VmName> Excluded, TimePoint Now);
+  const Vm *pick(const ServiceEntry &Service, const RouteName &Route,
+                 const Policy &Rules, std::span<const UpstreamId> Excluded,
+                 TimePoint Now);
 
   /** Returns the upstream that owns \a Key; null for a service without any. */
   static const Vm *ownerOf(const ServiceEntry &Service, const std::string &Key);
 
-  void onSent(const VmName &Name);
+  void onSent(const UpstreamId &Id, TimePoint Now);
 
   /** \pre onSent() was called for this attempt. */
-  void onEnd(const VmName &Name, AttemptEnd End, TimePoint Now);
+  void onEnd(const UpstreamId &Id, AttemptEnd End, TimePoint Now);
+
+  /** The target of \a Id took \a Took for a request of \a Route. */
+  void onRun(const UpstreamId &Id, const RouteName &Route, Duration Took);
+
+  /** Returns the usual time of a request of \a Route; zero for unknown. */
+  Duration usualRun(const RouteName &Route) const {
+    return this->Work.of(Route);
+  }
 
   /** Returns the upstreams that are left out now. */
   size_t ejectedCount(TimePoint Now) const;
 
 private:
-  struct View {
-    LoadReport Load;
-    TimePoint LoadTime;
-    TimePoint FirstSeen;
-    TimePoint EjectedUntil;
-    MemberAnnouncement Announced;
-    int64_t InFlight = 0;
-    int FailuresInRow = 0;
-    int Ejections = 0;
-    double ErrorRate = 0;
-    bool HasAnnouncement = false;
-
-    /** Present before the first snapshot was replaced; not cold. */
-    bool Warm = false;
-  };
-
-  bool takesWork(const Vm &Upstream) const;
-  Candidate candidate(const Vm &Upstream, const View &Known,
-                      const Policy &Rules, TimePoint Now) const;
-  void eject(View &Target, Duration First, TimePoint Now);
+  UpstreamView *find(const UpstreamId &Id);
+  Candidate candidate(const Vm &Upstream, const UpstreamView &View,
+                      const RouteName &Route, const Policy &Rules,
+                      TimePoint Now) const;
+  Balancer &balancer(const std::string &Name) const;
 
   VmName Self;
   std::mt19937_64 Random;
   std::shared_ptr<const Snapshot> Current;
-  std::map<VmName, View> Views;
+  std::map<UpstreamId, UpstreamView> Views;
+  WorkEstimate Work;
   std::map<std::string, std::unique_ptr<Balancer>> Balancers;
 };
 
--- /dev/null
+++ b/src/plugins/routing/shareplan.h
@@ -0,0 +1,31 @@
+#ifndef BLUEBELLBARROW_ROUTING_SHAREPLAN_H
+#define BLUEBELLBARROW_ROUTING_SHAREPLAN_H
+
+#include "tree/snapshot.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/**
+ * Divides the requests of a route between services by their weights. The
+ * shares hold for any few requests in a row, not only on average.
+ *
+ * Method: smooth weighted round-robin, as in nginx. Thread safety: none.
+ */
+class SharePlan {
+public:
+  /** Returns the index of the part that the next request of \a Route takes. */
+  size_t next(const RouteEntry &Route);
+
+private:
+  /** What each part of a route is owed. */
+  std::map<RouteName, std::vector<double>> Owed;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_ROUTING_SHAREPLAN_H
--- /dev/null
+++ b/src/plugins/settingswatch.h
@@ -0,0 +1,46 @@
+#ifndef BLUEBELLBARROW_PLUGINS_SETTINGSWATCH_H
+#define BLUEBELLBARROW_PLUGINS_SETTINGSWATCH_H
+
+#include "kernel/nodesettings.h"
+#include "kernel/timer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bluebellbarrow {
+
+class Task;
+
+/**
+ * Reads the file of settings again when it changes, with or without a signal.
+ * A file that can't be read changes nothing. Says which changes only a
+ * restart brings.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class SettingsWatch {
+public:
+  using Changed = std::function<void(std::shared_ptr<const NodeSettings>)>;
+
+  /** \pre \a Owner outlives the watch; \a Path was read as \a First. */
+  SettingsWatch(Task &Owner, std::string Path, const NodeSettings &First,
+                Changed OnChanged);
+
+  /** Looks at the file at once. */
+  void reload();
+
+private:
+  void poll();
+  void report(const NodeSettings &New) const;
+
+  std::string Path;
+  Changed OnChanged;
+  std::shared_ptr<const NodeSettings> Current;
+  std::string Text;
+  Timer Next;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_PLUGINS_SETTINGSWATCH_H
--- a/src/plugins/spread/controllinks.cpp
+++ b/src/plugins/spread/controllinks.cpp
@@ -42,8 +42,8 @@
                    [this](StreamId, const Error &Failure) {
                      this->Events.Malformed(Failure);
                    }}),
-      Datagrams(Owner, Ip, Port,
-                [this](const DatagramPeer &From, std::string_view Bytes) {
+      Datagrams(Owner, {.Ip = Ip, .Port = Port},
+                [this](const Endpoint &From, std::string_view Bytes) {
                   this->onDatagram(From, Bytes);
                 }) {}
 
@@ -86,8 +86,7 @@
   this->Datagrams.send({.Ip = To, .Port = ToPort}, Bytes);
 }
 
-void ControlLinks::onDatagram(const DatagramPeer &From,
-                              std::string_view Bytes) {
+void ControlLinks::onDatagram(const Endpoint &From, std::string_view Bytes) {
   this->Events.Counted(false, "digest", Bytes.size());
   const std::optional<DigestMessage> Message = fromDatagram(Bytes);
   if (!Message || Message->Mesh != this->Mesh) {
--- a/src/plugins/spread/controllinks.h
+++ b/src/plugins/spread/controllinks.h
@@ -60,7 +60,7 @@
 
   void onReceived(StreamId Stream, const Frame &Value);
   void onClosed(StreamId Stream);
-  void onDatagram(const DatagramPeer &From, std::string_view Bytes);
+  void onDatagram(const Endpoint &From, std::string_view Bytes);
   StreamId streamTo(const Address &To, TimePoint Now);
 
   Task &Owner;
@@ -73,7 +73,7 @@
   std::map<Address, StreamId> ByPeer;
 
   /** Sender of the datagram that is being handled. */
-  DatagramPeer Observer;
+  Endpoint Observer;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -3,7 +3,7 @@
 #include "kernel/pausedetector.h"
 #include "plugins/metrics/metrics.h"
 #include "plugins/nodeplugin.h"
-#include "plugins/platform/platformclient.h"
+#include "plugins/platform/platformsource.h"
 #include "spread.h"
 #include "versioncompiler.h"
 
@@ -25,12 +25,12 @@
 class ControlPlugin : public NodePlugin {
 public:
   explicit ControlPlugin(NodeContext &Context)
-      : Context(Context), Owner({.Name = "control", .MaxSockets = MaxSockets}),
+      : Context(Context),
+        Owner(Context.Tasks.get({.Name = "control", .MaxSockets = MaxSockets})),
         Links(Owner, Context.Settings.Ip, Context.Settings.ControlPort,
               meshIdOf(Context.Settings.Mesh), this->linkEvents()),
-        Platform(Owner, {.LocalIp = Context.Settings.Ip,
-                         .Ip = Context.Settings.PlatformIp,
-                         .Port = Context.Settings.PlatformPort}),
+        Platform(sourceOf(Context.Settings, Owner)),
+        Compiler(defaultsFrom(Context.Settings.Overrides)),
         Decisions(
             this->spreadOptions(),
             [this](ItemKind Kind, const WholeVersion &Version) {
@@ -56,18 +56,25 @@
           this->carryOut();
           this->publishStatus();
         });
+    this->Context.Bus.Settings.subscribe(
+        this->Owner, [this](const SettingsMessage &Message) {
+          this->Compiler.setDefaults(defaultsFrom(Message.Current->Overrides));
+          this->publishSnapshot();
+        });
     this->Owner.post([this] { this->onTick(); });
     return std::monostate();
   }
 
-  void start() override { this->Owner.start(); }
-
-  void stop() override {
-    this->Owner.stop();
-    this->Owner.join();
+private:
+  static std::unique_ptr<PlatformSource> sourceOf(const NodeSettings &Settings,
+                                                  Task &Owner) {
+    return PlatformSourceRegistry::instance().create(
+        Settings.PlatformProtocol, {.Owner = Owner,
+                                    .LocalIp = Settings.Ip,
+                                    .Platform = Settings.Platform,
+                                    .Mesh = Settings.Mesh});
   }
 
-private:
   SpreadOptions spreadOptions() const {
     const NodeSettings &Settings = this->Context.Settings;
     std::random_device Entropy;
@@ -77,7 +84,8 @@
             .Life = this->Context.Life,
             .Seeds = Settings.Seeds,
             .BootSilence = Settings.BootSilence,
-            .Seed = (static_cast<uint64_t>(Entropy()) << 32U) | Entropy()};
+            .Seed = (static_cast<uint64_t>(Entropy()) << 32U) | Entropy(),
+            .FirstPolicy = defaultsFrom(Settings.Overrides).Spread};
   }
 
   ControlEvents linkEvents() {
@@ -140,15 +148,15 @@
   }
 
   void act(const ReadPlatform &Action) {
-    this->Platform.read(Action,
-                        [this, Kind = Action.Kind](const ReadResult &Result) {
-                          this->onRead(Kind, Result);
-                        });
+    this->Platform->read(Action,
+                         [this, Kind = Action.Kind](const ReadResult &Result) {
+                           this->onRead(Kind, Result);
+                         });
   }
 
   void act(const ReadPart &Action) {
-    this->Platform.readPart(Action.Hash, [this, Hash = Action.Hash](
-                                             const ReadResult &Result) {
+    this->Platform->readPart(Action.Hash, [this, Hash = Action.Hash](
+                                              const ReadResult &Result) {
       this->countRead(Result);
       const bool Found = Result.End == ReadEnd::Value;
       this->Decisions.onPart(Hash, Found ? &Result.Text : nullptr, Task::now());
@@ -159,6 +167,11 @@
   void act(const VersionInForce &Action) {
     if (Action.Kind == ItemKind::Config)
       this->AppliedAt = std::chrono::system_clock::now();
+    this->publishSnapshot();
+    this->publishStatus();
+  }
+
+  void publishSnapshot() {
     const WholeVersionPtr Config =
         this->Decisions.store(ItemKind::Config).current();
     const WholeVersionPtr List =
@@ -166,7 +179,6 @@
     if (Config != nullptr && List != nullptr)
       this->Context.Bus.Snapshots.publish({this->Compiler.compile(
           *Config, *List, this->Context.Settings.Domain)});
-    this->publishStatus();
   }
 
   void act(const MemberChanged &Action) {
@@ -239,9 +251,9 @@
   }
 
   NodeContext &Context;
-  Task Owner;
+  Task &Owner;
   ControlLinks Links;
-  PlatformClient Platform;
+  std::unique_ptr<PlatformSource> Platform;
   VersionCompiler Compiler;
   Spread Decisions;
   PauseDetector Pauses;
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -24,7 +24,7 @@
                SpreadPolicyOf PolicyOf, TimePoint Now)
     : Options(std::move(NewOptions)), Mesh(meshIdOf(this->Options.Mesh)),
       Check(std::move(Check)), PolicyOf(std::move(PolicyOf)),
-      Tuning(defaultSpreadPolicy()),
+      Tuning(this->Options.FirstPolicy),
       Random(this->Options.Seed), Streams{Stream(ItemKind::Config,
                                                  this->Options.Seed + 1),
                                           Stream(ItemKind::VmList,
@@ -152,6 +152,9 @@
   Version->Content =
       vmListCatalog(this->Options.Mesh, List.value(), Version->Parts);
   Version->Id = versionOf(Version->Content);
+  const WholeVersionPtr Known = this->store(ItemKind::VmList).current();
+  if (Known != nullptr && Known->Content.Entries == Version->Content.Entries)
+    return;
   this->accept(ItemKind::VmList, Version, Origin::Platform, "platform", Now);
 }
 
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -37,6 +37,9 @@
 
   /** Seed of the random source. */
   uint64_t Seed = 0;
+
+  /** Policy until a version is in force. */
+  SpreadPolicy FirstPolicy = defaultSpreadPolicy();
 };
 
 /** Returns why a version is bad, or nothing. Must depend on nothing else. */
--- a/src/plugins/spread/versioncompiler.cpp
+++ b/src/plugins/spread/versioncompiler.cpp
@@ -52,7 +52,7 @@
 
 SpreadPolicy VersionCompiler::spreadPolicy(const WholeVersion &Config,
                                            const FailureDomain &Domain) {
-  return this->treeOf(Config).value()->spreadPolicy(Domain);
+  return this->treeOf(Config).value()->spreadPolicy(Domain, this->Base.Spread);
 }
 
 std::shared_ptr<const Snapshot>
@@ -64,7 +64,7 @@
     Vms.insert(Vms.end(), Part.value().begin(), Part.value().end());
   }
   const TreePtr Tree = this->treeOf(Config).value();
-  return compileSnapshot(*Tree, Config.Id, Vms, List.Id, Domain);
+  return compileSnapshot(*Tree, Config.Id, Vms, List.Id, Domain, this->Base);
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/versioncompiler.h
+++ b/src/plugins/spread/versioncompiler.h
@@ -20,6 +20,13 @@
  */
 class VersionCompiler {
 public:
+  /** \a Base holds what is used where a tree sets nothing. */
+  explicit VersionCompiler(SnapshotDefaults Base = SnapshotDefaults())
+      : Base(std::move(Base)) {}
+
+  /** Replaces what is used where a tree sets nothing. */
+  void setDefaults(SnapshotDefaults New) { this->Base = std::move(New); }
+
   /** Returns why \a Version is bad, or nothing. */
   std::optional<Error> check(ItemKind Kind, const WholeVersion &Version);
 
@@ -40,6 +47,7 @@
   /** Branches of the version that was checked last, by digest and path. */
   std::map<std::pair<Digest, std::string>, BranchPtr> Parsed;
 
+  SnapshotDefaults Base;
   VersionId LastVersion;
   TreePtr LastTree;
 };
--- a/src/tree/branch.cpp
+++ b/src/tree/branch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <sstream>
 
 namespace bluebellbarrow {
@@ -12,10 +13,14 @@
 
 constexpr size_t MaxNameLength = 63;
 
-const std::array<KeySpec, 4> OwnKeys = {{
+const std::array<KeySpec, 6> OwnKeys = {{
     {"mesh", "name", KeyType::Text, 1, MaxNameLength, "", "name of the mesh"},
     {"service", "about", KeyType::Text, 0, 150, "", "what the service is for"},
-    {"route", "match", KeyType::Text, 1, 150, "", "method and path prefix"},
+    {"route", "match", KeyType::Text, 1, 150, "",
+     "method and path prefix; '*' for any method"},
+    {"route", "host", KeyType::Text, 1, 150, "", "host that callers name"},
+    {"route", "split", KeyType::Text, 1, 180, "",
+     "services that share the requests, as 'NAME WEIGHT, NAME WEIGHT'"},
     {"route", "calls", KeyType::Text, 0, 150, "", "services that it calls"},
 }};
 
@@ -25,16 +30,19 @@
 };
 
 /** The sections that each kind of branch may hold. */
-constexpr std::array<SectionRule, 11> SectionRules = {{
+constexpr std::array<SectionRule, 14> SectionRules = {{
     {BranchKind::Mesh, "mesh"},
     {BranchKind::Mesh, "policy"},
     {BranchKind::Mesh, "spread"},
+    {BranchKind::Mesh, "limits"},
     {BranchKind::Place, "place"},
     {BranchKind::Place, "policy"},
     {BranchKind::Place, "spread"},
+    {BranchKind::Place, "limits"},
     {BranchKind::Service, "service"},
     {BranchKind::Service, "policy"},
     {BranchKind::Service, "route"},
+    {BranchKind::RouteGroup, "route"},
     {BranchKind::PlaceService, "policy"},
     {BranchKind::PlaceService, "route"},
 }};
@@ -47,11 +55,11 @@
 }
 
 bool isName(const std::string &Text) {
-  const auto Allowed = [](char Character) {
-    return (Character >= 'a' && Character <= 'z') ||
-           (Character >= '0' && Character <= '9') || Character == '-';
+  const auto Allowed = [](unsigned char Character) {
+    return std::isalnum(Character) != 0 || Character == '-' ||
+           Character == '_' || Character == '.';
   };
-  return !Text.empty() && Text.size() <= MaxNameLength &&
+  return !Text.empty() && Text.front() != '.' && Text.size() <= MaxNameLength &&
          std::all_of(Text.begin(), Text.end(), Allowed);
 }
 
@@ -70,12 +78,15 @@
     return false;
   if (Target.Path == "mesh")
     return true;
-  if (Names.size() == 2 && Names[0] == "service") {
-    Target.Kind = BranchKind::Service;
+  if (Names.size() < 2 || Names.size() > 3)
+    return false;
+  if (Names[0] == "service") {
+    Target.Kind =
+        Names.size() == 2 ? BranchKind::Service : BranchKind::RouteGroup;
     Target.Service = ServiceName(Names[1]);
     return true;
   }
-  if (Names.size() < 2 || Names.size() > 3 || Names[0] != "place")
+  if (Names[0] != "place")
     return false;
   Target.Kind =
       Names.size() == 2 ? BranchKind::Place : BranchKind::PlaceService;
@@ -95,6 +106,8 @@
     }
     for (const auto &Field : spreadFields())
       All.push_back(Field.Key);
+    for (const auto &Field : limitFields())
+      All.push_back(Field.Key);
     All.push_back(
         {"place", "about", KeyType::Text, 0, 150, "", "what the place is"});
     return All;
@@ -111,8 +124,8 @@
 }
 
 Result<std::monostate> storeMatch(RouteBranch &Route, const IniEntry &Entry) {
-  static const std::array<const char *, 5> Methods = {"GET", "POST", "PUT",
-                                                      "PATCH", "DELETE"};
+  static const std::array<const char *, 8> Methods = {
+      "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
   const size_t Space = Entry.Value.find(' ');
   Route.Method = Entry.Value.substr(0, Space);
   Route.PathPrefix =
@@ -123,6 +136,39 @@
       Route.PathPrefix.find(' ') != std::string::npos)
     return makeError(Errc::BadValue, "", "",
                      "'" + Entry.Value + "' is not 'METHOD /path'");
+  if (Route.Method == "*")
+    Route.Method.clear();
+  return std::monostate();
+}
+
+Result<std::monostate> storeHost(RouteBranch &Route, const IniEntry &Entry) {
+  Route.Host = Entry.Value;
+  const auto Lower = [](unsigned char Letter) {
+    return static_cast<char>(std::tolower(Letter));
+  };
+  std::transform(Route.Host.begin(), Route.Host.end(), Route.Host.begin(),
+                 Lower);
+  if (Route.Host.find_first_of(" /:") != std::string::npos)
+    return makeError(Errc::BadValue, "", "",
+                     "'" + Entry.Value + "' is not the name of a host");
+  return std::monostate();
+}
+
+Result<std::monostate> storeSplit(RouteBranch &Route, const IniEntry &Entry) {
+  double Sum = 0;
+  for (const std::string &Part : splitBy(Entry.Value, ',')) {
+    std::istringstream Words(Part);
+    std::string Name;
+    RouteShare Share;
+    if (!(Words >> Name >> Share.Weight) || !isName(Name) || Share.Weight < 0)
+      return makeError(Errc::BadValue, "", "",
+                       "'" + Part + "' is not 'SERVICE WEIGHT'");
+    Share.Service = ServiceName(Name);
+    Sum += Share.Weight;
+    Route.Shares.push_back(std::move(Share));
+  }
+  if (Sum <= 0)
+    return makeError(Errc::BadValue, "", "", "all weights are zero");
   return std::monostate();
 }
 
@@ -137,6 +183,19 @@
   return std::monostate();
 }
 
+/** A key of a route that is not part of its policy. */
+struct RouteKey {
+  const char *Key;
+  Result<std::monostate> (*Store)(RouteBranch &, const IniEntry &);
+};
+
+constexpr std::array<RouteKey, 4> RouteKeys = {{
+    {"match", storeMatch},
+    {"calls", storeCalls},
+    {"host", storeHost},
+    {"split", storeSplit},
+}};
+
 RouteBranch &routeOf(Branch &Target, const std::string &Name) {
   for (RouteBranch &Each : Target.Routes)
     if (Each.Name.str() == Name)
@@ -152,15 +211,15 @@
     return makeError(Errc::BadValue, "", "",
                      "'" + Name + "' is not the name of a route");
   RouteBranch &Route = routeOf(Target, Name);
-  const bool Refines = Target.Kind == BranchKind::PlaceService;
-  if (Refines && (Entry.Key == "match" || Entry.Key == "calls"))
-    return makeError(Errc::UnknownKey, "", "", "a place can't change it");
-  if (Route.Line == 0 || Entry.Key == "match" || Entry.Key == "calls")
+  const auto Own = std::find_if(
+      RouteKeys.begin(), RouteKeys.end(),
+      [&Entry](const RouteKey &Each) { return Entry.Key == Each.Key; });
+  if (Route.Line == 0 || Own != RouteKeys.end())
     Route.Line = Entry.Line;
-  if (Entry.Key == "match")
-    return storeMatch(Route, Entry);
-  if (Entry.Key == "calls")
-    return storeCalls(Route, Entry);
+  if (Own != RouteKeys.end() && Target.Kind == BranchKind::PlaceService)
+    return makeError(Errc::UnknownKey, "", "", "a place can't change it");
+  if (Own != RouteKeys.end())
+    return Own->Store(Route, Entry);
   Route.Policy.push_back({.Field = fieldIndex(policyFields(), Entry.Key),
                           .Text = Entry.Value,
                           .Base = Base,
@@ -185,6 +244,10 @@
     Value.Field = fieldIndex(spreadFields(), Entry.Key);
     Target.Spread.push_back(Value);
   }
+  if (Kind == "limits") {
+    Value.Field = fieldIndex(limitFields(), Entry.Key);
+    Target.Limits.push_back(Value);
+  }
   return std::monostate();
 }
 
@@ -210,7 +273,8 @@
   if (!classify(Target))
     return makeError(Errc::BadValue, Name, "",
                      "not the path of a branch: expected mesh, place/NAME, "
-                     "service/NAME or place/NAME/SERVICE");
+                     "service/NAME, service/NAME/GROUP or "
+                     "place/NAME/SERVICE");
   const Result<IniFile> File = parseIni(Name, Text);
   if (!File)
     return File.error();
@@ -227,7 +291,7 @@
   if (Target.Kind == BranchKind::Mesh && Target.MeshName.empty())
     return makeError(Errc::Incomplete, Name, "", "[mesh] has no key 'name'");
   for (const RouteBranch &Route : Target.Routes)
-    if (Target.Kind == BranchKind::Service && Route.Method.empty())
+    if (Target.Kind != BranchKind::PlaceService && Route.PathPrefix.empty())
       return lineError(Errc::Incomplete, Name, Route.Line,
                        "route '" + Route.Name.str() + "' has no key 'match'");
   return Target;
--- a/src/tree/branch.h
+++ b/src/tree/branch.h
@@ -12,11 +12,20 @@
 namespace bluebellbarrow {
 
 /** What a branch refines, from general to particular. */
-enum class BranchKind { Mesh, Place, Service, PlaceService };
+enum class BranchKind {
+  Mesh,
+  Place,
+  Service,
+
+  /** A part of a service's routes, where it has many. */
+  RouteGroup,
+
+  PlaceService,
+};
 
 /** One key that a branch overrides. */
 struct Override {
-  /** Index into policyFields() or spreadFields(). */
+  /** Index into policyFields(), spreadFields() or limitFields(). */
   size_t Field = 0;
 
   /** The value as written. */
@@ -28,12 +37,29 @@
   int Line = 0;
 };
 
+/** A part of a route's requests that goes to one service. */
+struct RouteShare {
+  ServiceName Service;
+
+  /** Size of the part, relative to the other parts of the route. */
+  double Weight = 0;
+};
+
 /** A route, or the refinement of one by a place. */
 struct RouteBranch {
   RouteName Name;
+
+  /** Host that requests must name, in lower case; empty for any. */
+  std::string Host;
+
+  /** Method of the requests; empty for any. */
   std::string Method;
+
   std::string PathPrefix;
 
+  /** Services that share the requests; empty for the branch's own. */
+  std::vector<RouteShare> Shares;
+
   /** Services that the route's target calls. */
   std::vector<ServiceName> Calls;
 
@@ -57,6 +83,7 @@
 
   std::vector<Override> Policy;
   std::vector<Override> Spread;
+  std::vector<Override> Limits;
   std::vector<RouteBranch> Routes;
 };
 
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -11,20 +11,26 @@
 constexpr double Minute = 60e6;
 constexpr double Megabyte = 1048576;
 
-const std::array<FieldSpec<Policy>, 12> PolicyTable = {{
-    {{"policy", "deadline", KeyType::Span, Millisecond, Minute, "2 s",
+const std::array<FieldSpec<Policy>, 16> PolicyTable = {{
+    {{"policy", "deadline", KeyType::Span, Millisecond, 10 * Minute, "2 s",
       "time a call may take when the caller names none"},
      &Policy::Deadline},
+    {{"policy", "aim", KeyType::Span, 0, 10 * Minute, "0 s",
+      "time within which an answer is of full use; 0 s for the deadline"},
+     &Policy::Aim},
+    {{"policy", "priority", KeyType::Count, 0, 100, "1",
+      "rank of a request among others that wait; 0 goes first"},
+     &Policy::Priority},
     {{"policy", "slow-start", KeyType::Span, 0, 10 * Minute, "10 s",
       "time in which a new target comes up to its full share"},
      &Policy::SlowStart},
     {{"policy", "key-memory", KeyType::Span, Second, 60 * Minute, "10 min",
       "time for which a request under an Idempotency-Key is remembered"},
      &Policy::KeyMemory},
-    {{"policy", "probe-period", KeyType::Span, 50 * Millisecond, Minute,
-      "500 ms", "time between two looks at the target's health"},
+    {{"policy", "probe-period", KeyType::Span, 0, Minute, "500 ms",
+      "time between two looks at the target's health; 0 s for none"},
      &Policy::ProbePeriod},
-    {{"policy", "retries", KeyType::Count, 0, 5, "2",
+    {{"policy", "retries", KeyType::Count, 0, 100, "2",
       "further attempts after the first"},
      &Policy::Retries},
     {{"policy", "slots", KeyType::Count, 1, 1000, "10",
@@ -33,7 +39,7 @@
     {{"policy", "queue", KeyType::Count, 0, 1000, "10",
       "requests that wait for a slot"},
      &Policy::Queue},
-    {{"policy", "max-body", KeyType::Size, 0, 8 * Megabyte, "1 MB",
+    {{"policy", "max-body", KeyType::Size, 0, 1024 * Megabyte, "1 MB",
       "largest body of a request or an answer"},
      &Policy::MaxBody},
     {{"policy", "retry-budget", KeyType::Ratio, 0, 1, "0.1",
@@ -48,9 +54,30 @@
     {{"policy", "balance", KeyType::Text, 1, 32, "two-choices",
       "how an upstream is chosen"},
      &Policy::Balance},
+    {{"policy", "probe-path", KeyType::Text, 0, 150, "",
+      "path to probe at the target; empty for that of the node's settings"},
+     &Policy::ProbePath},
+    {{"policy", "max-connections", KeyType::Count, 1, 100000, "1000",
+      "connections that a target accepts from all callers together"},
+     &Policy::MaxConnections},
 }};
 
-const std::array<FieldSpec<SpreadPolicy>, 11> SpreadTable = {{
+const std::array<FieldSpec<CallerLimits>, 4> LimitTable = {{
+    {{"limits", "max-header", KeyType::Size, 256, Megabyte, "16 KB",
+      "largest head of a request"},
+     &CallerLimits::MaxHeader},
+    {{"limits", "max-body", KeyType::Size, 0, 1024 * Megabyte, "8 MB",
+      "largest body of a request"},
+     &CallerLimits::MaxBody},
+    {{"limits", "header-time", KeyType::Span, 10 * Millisecond, Minute, "10 s",
+      "time in which the head of a request must arrive"},
+     &CallerLimits::HeaderTime},
+    {{"limits", "idle-time", KeyType::Span, 100 * Millisecond, 60 * Minute,
+      "75 s", "time without a byte after which a connection is closed"},
+     &CallerLimits::IdleTime},
+}};
+
+const std::array<FieldSpec<SpreadPolicy>, 12> SpreadTable = {{
     {{"spread", "digest-period", KeyType::Span, 50 * Millisecond, Minute,
       "500 ms", "time between two rounds of digests"},
      &SpreadPolicy::DigestPeriod},
@@ -75,6 +102,9 @@
     {{"spread", "readers", KeyType::Count, 1, 16, "2",
       "nodes of a failure domain that watch the platform"},
      &SpreadPolicy::Readers},
+    {{"spread", "reading-domains", KeyType::Count, 0, 64, "0",
+      "failure domains whose nodes watch the platform; 0 for all of them"},
+     &SpreadPolicy::ReadingDomains},
     {{"spread", "max-transfers", KeyType::Count, 1, 64, "4",
       "whole transfers that a node serves at once"},
      &SpreadPolicy::MaxTransfers},
@@ -102,11 +132,18 @@
 
 std::span<const FieldSpec<SpreadPolicy>> spreadFields() { return SpreadTable; }
 
+std::span<const FieldSpec<CallerLimits>> limitFields() { return LimitTable; }
+
 Policy defaultPolicy() {
   static const Policy Default = withDefaults(PolicyTable);
   return Default;
 }
 
+CallerLimits defaultCallerLimits() {
+  static const CallerLimits Default = withDefaults(LimitTable);
+  return Default;
+}
+
 SpreadPolicy defaultSpreadPolicy() {
   static const SpreadPolicy Default = withDefaults(SpreadTable);
   return Default;
