--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -13,11 +13,20 @@
 
 /** How the calls of one route are handled; defaults are those of the schema. */
 struct Policy {
+  /** Longest time that a caller is kept waiting. */
   Duration Deadline{};
+
+  /** Time within which an answer is of full use; zero for the deadline. */
+  Duration Aim{};
+
   Duration SlowStart{};
   Duration KeyMemory{};
   Duration ProbePeriod{};
   int64_t Retries = 0;
+
+  /** Rank of a request among others that wait; 0 goes first. */
+  int64_t Priority = 0;
+
   int64_t Slots = 0;
   int64_t Queue = 0;
   int64_t MaxBody = 0;
@@ -25,6 +34,20 @@
   double MaxEjected = 0;
   bool Idempotent = false;
   std::string Balance;
+
+  /** Path to probe at the target; empty for that of the node's settings. */
+  std::string ProbePath;
+
+  /** Connections that a target accepts from all callers together. */
+  int64_t MaxConnections = 0;
+};
+
+/** What a node accepts from callers; defaults are those of the schema. */
+struct CallerLimits {
+  int64_t MaxHeader = 0;
+  int64_t MaxBody = 0;
+  Duration HeaderTime{};
+  Duration IdleTime{};
 };
 
 /** How configuration is spread in one failure domain. */
@@ -37,6 +60,10 @@
   int64_t DigestPeers = 0;
   int64_t FanOut = 0;
   int64_t Readers = 0;
+
+  /** Failure domains whose nodes read; 0 for all of them. */
+  int64_t ReadingDomains = 0;
+
   int64_t MaxTransfers = 0;
   bool PushContent = false;
   std::string Strategy;
@@ -56,9 +83,15 @@
 /** Returns the fields of a "spread" section. Thread safety: safe. */
 std::span<const FieldSpec<SpreadPolicy>> spreadFields();
 
+/** Returns the fields of a "limits" section. Thread safety: safe. */
+std::span<const FieldSpec<CallerLimits>> limitFields();
+
 /** Returns a policy with every default. Thread safety: safe. */
 Policy defaultPolicy();
 
+/** Returns limits with every default. Thread safety: safe. */
+CallerLimits defaultCallerLimits();
+
 /** Returns a spread policy with every default. Thread safety: safe. */
 SpreadPolicy defaultSpreadPolicy();
 
--- a/src/tree/settingstree.cpp
+++ b/src/tree/settingstree.cpp
@@ -13,7 +13,8 @@
 
 std::string fileName(const Branch &Of) { return Of.Path + ".ini"; }
 
-const RouteBranch *findRoute(const Branch &In, const RouteName &Name) {
+/** Returns the refinement of a route by a place, or null. */
+const RouteBranch *findRefinement(const Branch &In, const RouteName &Name) {
   const auto Found = std::find_if(
       In.Routes.begin(), In.Routes.end(),
       [&Name](const RouteBranch &Each) { return Each.Name == Name; });
@@ -41,13 +42,17 @@
     else
       Faults.push_back(Parsed.error());
   }
-  return Faults.empty() ? Tree.faults() : Faults;
+  if (!Faults.empty())
+    return Faults;
+  Tree.indexRoutes();
+  return Tree.faults();
 }
 
 Result<std::shared_ptr<const SettingsTree>>
 SettingsTree::build(BranchMap Parsed) {
   auto Tree = std::make_shared<SettingsTree>();
   Tree->Branches = std::move(Parsed);
+  Tree->indexRoutes();
   const std::vector<Error> Faults = Tree->faults();
   if (!Faults.empty())
     return Faults.front();
@@ -84,36 +89,59 @@
   return Names;
 }
 
-const std::vector<RouteBranch> &
+const std::vector<const RouteBranch *> &
 SettingsTree::routes(const ServiceName &Service) const {
-  return this->Branches.at("service/" + Service.str())->Routes;
+  static const std::vector<const RouteBranch *> None;
+  const auto Found = this->RoutesOf.find(Service);
+  return Found == this->RoutesOf.end() ? None : Found->second;
+}
+
+void SettingsTree::indexRoutes() {
+  for (const auto &[Path, Each] : this->Branches) {
+    if (Each->Kind != BranchKind::Service &&
+        Each->Kind != BranchKind::RouteGroup)
+      continue;
+    for (const RouteBranch &Route : Each->Routes) {
+      this->RoutesOf[Each->Service].push_back(&Route);
+      this->RouteIndex.emplace(
+          Each->Service.str() + "/" + Route.Name.str(),
+          RouteOwner{.Route = &Route, .Owner = Each.get()});
+    }
+  }
+}
+
+const SettingsTree::RouteOwner *
+SettingsTree::findRoute(const ServiceName &Service,
+                        const RouteName &Route) const {
+  const auto Found = this->RouteIndex.find(Service.str() + "/" + Route.str());
+  return Found == this->RouteIndex.end() ? nullptr : &Found->second;
 }
 
 std::vector<SettingsTree::Layer>
 SettingsTree::layers(const FailureDomain &Place, const ServiceName &Service,
                      const RouteName &Route) const {
   const std::string PlacePath = "place/" + Place.str();
-  const std::string ServicePath = "service/" + Service.str();
   const std::string BothPath = PlacePath + "/" + Service.str();
   std::vector<Layer> Layers;
   for (const std::string &Path :
-       {std::string("mesh"), PlacePath, ServicePath, BothPath})
+       {std::string("mesh"), PlacePath, "service/" + Service.str(), BothPath})
     if (const Branch *Each = this->find(Path))
       Layers.push_back({Path, &Each->Policy});
-  for (const std::string &Path : {ServicePath, BothPath}) {
-    const Branch *Each = this->find(Path);
-    const RouteBranch *Found =
-        Each == nullptr ? nullptr : findRoute(*Each, Route);
-    if (Found != nullptr)
-      Layers.push_back({Path + "/" + Route.str(), &Found->Policy});
-  }
+  if (const RouteOwner *Found = this->findRoute(Service, Route))
+    Layers.push_back(
+        {Found->Owner->Path + "/" + Route.str(), &Found->Route->Policy});
+  const Branch *Both = this->find(BothPath);
+  const RouteBranch *Refined =
+      Both == nullptr ? nullptr : findRefinement(*Both, Route);
+  if (Refined != nullptr)
+    Layers.push_back({BothPath + "/" + Route.str(), &Refined->Policy});
   return Layers;
 }
 
 Policy SettingsTree::policy(const FailureDomain &Place,
-                            const ServiceName &Service,
-                            const RouteName &Route) const {
-  Policy Effective = defaultPolicy();
+                            const ServiceName &Service, const RouteName &Route,
+                            const Policy &Base) const {
+  Policy Effective = Base;
   for (const Layer &Each : this->layers(Place, Service, Route))
     for (const Override &Value : *Each.Values)
       storeField(policyFields()[Value.Field], Value.Text, Value.Base,
@@ -121,8 +149,9 @@
   return Effective;
 }
 
-SpreadPolicy SettingsTree::spreadPolicy(const FailureDomain &Place) const {
-  SpreadPolicy Effective = defaultSpreadPolicy();
+SpreadPolicy SettingsTree::spreadPolicy(const FailureDomain &Place,
+                                        const SpreadPolicy &Base) const {
+  SpreadPolicy Effective = Base;
   for (const std::string &Path : {std::string("mesh"), "place/" + Place.str()})
     if (const Branch *Each = this->find(Path))
       for (const Override &Value : Each->Spread)
@@ -131,6 +160,16 @@
   return Effective;
 }
 
+CallerLimits SettingsTree::callerLimits(const FailureDomain &Place) const {
+  CallerLimits Effective = defaultCallerLimits();
+  for (const std::string &Path : {std::string("mesh"), "place/" + Place.str()})
+    if (const Branch *Each = this->find(Path))
+      for (const Override &Value : Each->Limits)
+        storeField(limitFields()[Value.Field], Value.Text, Value.Base,
+                   Effective);
+  return Effective;
+}
+
 std::vector<EffectiveValue>
 SettingsTree::explain(const FailureDomain &Place, const ServiceName &Service,
                       const RouteName &Route) const {
@@ -154,36 +193,54 @@
                                "the tree has no branch 'mesh'"));
   for (const auto &[Path, Shared] : this->Branches) {
     const Branch &Each = *Shared;
-    if (Each.Kind != BranchKind::PlaceService)
-      continue;
-    for (const std::string &Parent :
-         {"place/" + Each.Place.str(), "service/" + Each.Service.str()})
+    std::vector<std::string> Parents;
+    if (Each.Kind == BranchKind::PlaceService)
+      Parents.push_back("place/" + Each.Place.str());
+    if (Each.Kind == BranchKind::PlaceService ||
+        Each.Kind == BranchKind::RouteGroup)
+      Parents.push_back("service/" + Each.Service.str());
+    for (const std::string &Parent : Parents)
       if (this->find(Parent) == nullptr)
         Faults.push_back(makeError(Errc::MissingParent, fileName(Each), "",
                                    "the tree has no branch '" + Parent + "'"));
   }
 }
 
+void SettingsTree::checkReferences(const Branch &In, const RouteBranch &Route,
+                                   std::vector<Error> &Faults) const {
+  const auto Check = [&](const char *Key, const ServiceName &Name) {
+    if (this->find("service/" + Name.str()) == nullptr)
+      Faults.push_back(
+          lineError(Errc::UnknownService, fileName(In), Route.Line,
+                    std::string("key '") + Key + "': '" + Name.str() + "'"));
+  };
+  for (const ServiceName &Name : Route.Calls)
+    Check("calls", Name);
+  for (const RouteShare &Share : Route.Shares)
+    Check("split", Share.Service);
+}
+
 void SettingsTree::checkRoutes(std::vector<Error> &Faults) const {
   std::map<std::string, std::string> Matches;
   for (const auto &[Path, Shared] : this->Branches) {
     const Branch &Each = *Shared;
-    const Branch *Service = this->find("service/" + Each.Service.str());
+    const bool HasService =
+        this->find("service/" + Each.Service.str()) != nullptr;
     for (const RouteBranch &Route : Each.Routes) {
-      const bool Known =
-          Service != nullptr && findRoute(*Service, Route.Name) != nullptr;
-      if (!Known && Service != nullptr)
+      const RouteOwner *Known = this->findRoute(Each.Service, Route.Name);
+      if (Known == nullptr && HasService)
         Faults.push_back(
             lineError(Errc::MissingParent, fileName(Each), Route.Line,
                       "the service has no route '" + Route.Name.str() + "'"));
-      for (const ServiceName &Name : Route.Calls)
-        if (this->find("service/" + Name.str()) == nullptr)
-          Faults.push_back(lineError(Errc::UnknownService, fileName(Each),
-                                     Route.Line,
-                                     "key 'calls': '" + Name.str() + "'"));
-      if (Each.Kind != BranchKind::Service)
+      this->checkReferences(Each, Route, Faults);
+      if (Each.Kind == BranchKind::PlaceService)
         continue;
-      const std::string Match = Route.Method + " " + Route.PathPrefix;
+      if (Known != nullptr && Known->Owner != &Each)
+        Faults.push_back(lineError(Errc::Duplicate, fileName(Each), Route.Line,
+                                   "route '" + Route.Name.str() + "' is in " +
+                                       Known->Owner->Path));
+      const std::string Match = (Route.Method.empty() ? "*" : Route.Method) +
+                                " " + Route.Host + Route.PathPrefix;
       const std::string Owner = Path + "/" + Route.Name.str();
       const auto [Taken, New] = Matches.emplace(Match, Owner);
       if (!New)
@@ -203,15 +260,13 @@
           return true;
         if (std::find(Stack.begin(), Stack.end(), Name) != Stack.end())
           return false;
-        const Branch *Each = this->find("service/" + Name.str());
-        if (Each == nullptr)
-          return true;
         Stack.push_back(Name);
-        for (const RouteBranch &Route : Each->Routes)
-          for (const ServiceName &Called : Route.Calls)
+        for (const RouteBranch *Route : this->routes(Name))
+          for (const ServiceName &Called : Route->Calls)
             if (!Visit(Called)) {
+              const Branch &Owner = *this->findRoute(Name, Route->Name)->Owner;
               Faults.push_back(lineError(
-                  Errc::DependencyCycle, fileName(*Each), Route.Line,
+                  Errc::DependencyCycle, fileName(Owner), Route->Line,
                   "key 'calls': '" + Called.str() + "' leads back here"));
               Finished.insert(Name);
             }
--- a/src/tree/settingstree.h
+++ b/src/tree/settingstree.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bluebellbarrow {
@@ -68,14 +69,23 @@
   /** Returns the names of all services, sorted. */
   std::vector<ServiceName> services() const;
 
-  /** Returns the routes of \a Service. \pre the service exists. */
-  const std::vector<RouteBranch> &routes(const ServiceName &Service) const;
+  /** Returns the routes of \a Service, with those of its groups. */
+  const std::vector<const RouteBranch *> &
+  routes(const ServiceName &Service) const;
 
-  /** Returns the policy of a route, or of a service for an empty route. */
+  /**
+   * Returns the policy of a route, or of a service for an empty route, where
+   * no branch sets a value that of \a Base.
+   */
   Policy policy(const FailureDomain &Place, const ServiceName &Service,
-                const RouteName &Route) const;
+                const RouteName &Route,
+                const Policy &Base = defaultPolicy()) const;
+
+  SpreadPolicy
+  spreadPolicy(const FailureDomain &Place,
+               const SpreadPolicy &Base = defaultSpreadPolicy()) const;
 
-  SpreadPolicy spreadPolicy(const FailureDomain &Place) const;
+  CallerLimits callerLimits(const FailureDomain &Place) const;
 
   /** Returns each value of policy() and where it comes from. */
   std::vector<EffectiveValue> explain(const FailureDomain &Place,
@@ -88,16 +98,31 @@
     const std::vector<Override> *Values;
   };
 
+  /** A route with the branch that holds it. */
+  struct RouteOwner {
+    const RouteBranch *Route = nullptr;
+    const Branch *Owner = nullptr;
+  };
+
+  void indexRoutes();
   std::vector<Error> faults() const;
   const Branch *find(const std::string &Path) const;
+  const RouteOwner *findRoute(const ServiceName &Service,
+                              const RouteName &Route) const;
   std::vector<Layer> layers(const FailureDomain &Place,
                             const ServiceName &Service,
                             const RouteName &Route) const;
   void checkParents(std::vector<Error> &Faults) const;
   void checkRoutes(std::vector<Error> &Faults) const;
+  void checkReferences(const Branch &In, const RouteBranch &Route,
+                       std::vector<Error> &Faults) const;
   void checkCycles(std::vector<Error> &Faults) const;
 
   BranchMap Branches;
+  std::map<ServiceName, std::vector<const RouteBranch *>> RoutesOf;
+
+  /** Routes of services by "SERVICE/ROUTE". */
+  std::unordered_map<std::string, RouteOwner> RouteIndex;
 };
 
 /**
--- a/src/tree/snapshot.h
+++ b/src/tree/snapshot.h
@@ -2,6 +2,7 @@
 #define BLUEBELLBARROW_TREE_SNAPSHOT_H
 
 #include "settingstree.h"
+#include "snapshotdefaults.h"
 #include "vmlist.h"
 
 #include <memory>
@@ -21,14 +22,28 @@
   std::vector<Vm> Upstreams;
 };
 
+/** A part of a route's requests. */
+struct ServiceShare {
+  /** Index into Snapshot::Services. */
+  size_t Service = 0;
+
+  /** Size relative to the other parts of the route. */
+  double Weight = 1;
+};
+
 /** A route of a service. */
 struct RouteEntry {
   RouteName Name;
 
-  /** Index into Snapshot::Services. */
-  size_t Service = 0;
+  /** The services that serve it; at least one. */
+  std::vector<ServiceShare> Shares;
 
+  /** Host that requests name; empty for any. */
+  std::string Host;
+
+  /** Empty for any. */
   std::string Method;
+
   std::string PathPrefix;
   Policy Effective;
 };
@@ -48,27 +63,30 @@
 
   std::vector<RouteEntry> Routes;
 
-  /** Index into Routes by method, a space and path prefix. */
+  /** Index into Routes by host, method and path prefix. */
   std::unordered_map<std::string, size_t> RouteIndex;
 
   SpreadPolicy Spread;
+  CallerLimits Limits;
 
   /**
    * Returns the route with the longest prefix of whole segments of \a Path, or
-   * null. The time grows with the segments of the path only.
+   * null. Among equal prefixes one that names the host comes first, then one
+   * that names the method. The time grows with the segments of the path only.
    */
-  const RouteEntry *findRoute(const std::string &Method,
+  const RouteEntry *findRoute(const std::string &Host,
+                              const std::string &Method,
                               const std::string &Path) const;
 
   const ServiceEntry *findService(const ServiceName &Name) const;
 };
 
 /** Compiles a snapshot as the nodes of \a Domain use it. */
-std::shared_ptr<const Snapshot> compileSnapshot(const SettingsTree &Tree,
-                                                const VersionId &Version,
-                                                const std::vector<Vm> &Vms,
-                                                const VersionId &VmListVersion,
-                                                const FailureDomain &Domain);
+std::shared_ptr<const Snapshot>
+compileSnapshot(const SettingsTree &Tree, const VersionId &Version,
+                const std::vector<Vm> &Vms, const VersionId &VmListVersion,
+                const FailureDomain &Domain,
+                const SnapshotDefaults &Base = SnapshotDefaults());
 
 } // namespace bluebellbarrow
 
--- a/tests/kernel/httpclient_test.cpp
+++ b/tests/kernel/httpclient_test.cpp
@@ -25,8 +25,7 @@
   Task Owner({.Name = "test", .MaxSockets = 64});
   HttpClient Client(Owner, {.Name = "client",
                             .LocalIp = {},
-                            .Ip = Address(Loopback),
-                            .Port = Port,
+                            .Remote = {.Ip = Address(Loopback), .Port = Port},
                             .Slots = 1,
                             .MaxBodyBytes = 1000});
   std::vector<CallResult> Results;
@@ -39,7 +38,7 @@
     const std::string Number = std::to_string(Results.size() + 1);
     Client.call({.Method = Methods[Results.size()],
                  .Target = "/" + Number,
-                 .Headers = {},
+                 .Headers = {{"Host", "test"}},
                  .Body = ""},
                 Timeout, [&](const CallResult &Result) {
                   Results.push_back(Result);
--- a/tests/plugins/admission_test.cpp
+++ b/tests/plugins/admission_test.cpp
@@ -19,6 +19,15 @@
           .Number = RequestNumber(Number)};
 }
 
+/** A request without an aim of its own. */
+AdmissionRequest request(const RequestKey &Key, TimePoint Deadline) {
+  return {.Key = Key,
+          .Route = RouteName("r"),
+          .Priority = 1,
+          .Aim = Deadline,
+          .Deadline = Deadline};
+}
+
 } // namespace
 
 Test(admission, interleaved_numbers_all_run) {
@@ -34,13 +43,14 @@
   uint64_t Highest = 0;
   int RefusedBySimplerRule = 0;
   for (const RequestKey &Each : Requests) {
-    const AdmitResult Result = Gate.admit(Each, Start + seconds(1), Start);
+    const AdmitResult Result =
+        Gate.admit(request(Each, Start + seconds(1)), Start);
     cr_assert_eq(Result.What, Admitted::Start);
     RefusedBySimplerRule += Each.Number.value() <= Highest ? 1 : 0;
     Highest = std::max(Highest, Each.Number.value());
   }
   for (const RequestKey &Each : Requests)
-    cr_assert(Gate.admit(Each, Start + seconds(1), Start).Duplicate);
+    cr_assert(Gate.admit(request(Each, Start + seconds(1)), Start).Duplicate);
   expectGolden("interleaved-numbers.txt",
                "one highest number for all origins refuses " +
                    std::to_string(RefusedBySimplerRule) + " of " +
@@ -51,9 +61,12 @@
   Admission Gate({.Slots = 1, .Queue = 5});
   const TimePoint Deadline = Start + seconds(1);
   cr_expect_eq(Gate.cancel(key(1), Start), CancelState::NotRun);
-  cr_expect_eq(Gate.admit(key(1), Deadline, Start).What, Admitted::Refuse);
-  cr_expect_eq(Gate.admit(key(2), Deadline, Start).What, Admitted::Start);
-  cr_expect_eq(Gate.admit(key(3), Deadline, Start).What, Admitted::Queue);
+  cr_expect_eq(Gate.admit(request(key(1), Deadline), Start).What,
+               Admitted::Refuse);
+  cr_expect_eq(Gate.admit(request(key(2), Deadline), Start).What,
+               Admitted::Start);
+  cr_expect_eq(Gate.admit(request(key(3), Deadline), Start).What,
+               Admitted::Queue);
   cr_expect_eq(Gate.cancel(key(2), Start), CancelState::Running);
   cr_expect_eq(Gate.cancel(key(3), Start), CancelState::NotRun);
   Gate.onFinished(key(2), Start);
@@ -63,13 +76,14 @@
 
 Test(admission, the_queue_knows_deadlines_and_draining) {
   Admission Gate({.Slots = 1, .Queue = 2});
-  cr_expect_eq(Gate.admit(key(1), Start + seconds(1), Start).What,
+  cr_expect_eq(Gate.admit(request(key(1), Start + seconds(1)), Start).What,
                Admitted::Start);
-  cr_expect_eq(Gate.admit(key(2), Start + milliseconds(10), Start).What,
-               Admitted::Queue);
-  cr_expect_eq(Gate.admit(key(3), Start + seconds(1), Start).What,
+  cr_expect_eq(
+      Gate.admit(request(key(2), Start + milliseconds(10)), Start).What,
+      Admitted::Queue);
+  cr_expect_eq(Gate.admit(request(key(3), Start + seconds(1)), Start).What,
                Admitted::Queue);
-  cr_expect_eq(Gate.admit(key(4), Start + seconds(1), Start).What,
+  cr_expect_eq(Gate.admit(request(key(4), Start + seconds(1)), Start).What,
                Admitted::Refuse);
   auto Left = Gate.poll(Start + milliseconds(20));
   cr_assert_eq(Left.size(), 1);
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -72,15 +72,13 @@
       const size_t Colon = Each.find(':');
       this->Nodes.push_back(std::make_unique<HttpClient>(
           this->Owner,
-          HttpClientOptions{
-              .Name = "caller-" + Each,
-              .LocalIp = {},
-              .Ip = Address(Each.substr(0, Colon)),
-              .Port = static_cast<int>(toNumber(Each.substr(Colon + 1), 80)),
-              .Slots = static_cast<size_t>(FLAGS_callers),
-              .MaxBodyBytes = MaxBodyBytes,
-              .CustomHeaders = {productHeaders().begin(),
-                                productHeaders().end()}}));
+          HttpClientOptions{.Name = "caller-" + Each,
+                            .LocalIp = {},
+                            .Remote = {.Ip = Address(Each.substr(0, Colon)),
+                                       .Port = static_cast<int>(toNumber(
+                                           Each.substr(Colon + 1), 80))},
+                            .Slots = static_cast<size_t>(FLAGS_callers),
+                            .MaxBodyBytes = MaxBodyBytes}));
     }
   }
 
@@ -127,8 +125,8 @@
     const std::string Id =
         std::to_string(getpid()) + "-" + std::to_string(Number);
     HttpRequest Request{.Method = IsPost ? "POST" : "GET",
-                        .Target =
-                            IsPost ? FLAGS_post : FLAGS_get + "?id=" + Id};
+                        .Target = IsPost ? FLAGS_post : FLAGS_get + "?id=" + Id,
+                        .Headers = {{"Host", "mesh"}}};
     if (IsPost) {
       Request.Body = "id=" + Id;
       Request.Headers.push_back({"content-type", "text/plain"});
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -27,6 +27,7 @@
 
 namespace {
 
+constexpr size_t MaxConnections = 16000;
 constexpr size_t MaxValueBytes = size_t{1024} * 1024;
 constexpr Duration TickPeriod = milliseconds(2);
 
@@ -94,12 +95,12 @@
       : Owner({.Name = "platform", .MaxSockets = 16384}),
         Server(Owner,
                {.Name = "platform",
-                .Ip = Address(FLAGS_address),
-                .Port = FLAGS_port,
-                .MaxBodyBytes = MaxValueBytes},
+                .Local = {.Ip = Address(FLAGS_address), .Port = FLAGS_port},
+                .Limits = {.Message = {.MaxBodyBytes = MaxValueBytes}},
+                .MaxConnections = MaxConnections},
                {.Requested =
                     [this](ExchangeId Id, const HttpRequest &Request,
-                           const Address &) { this->onRequest(Id, Request); },
+                           const Endpoint &) { this->onRequest(Id, Request); },
                 .Aborted =
                     [this](ExchangeId Id) {
                       this->Waiting.remove_if(
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -34,6 +34,7 @@
 namespace {
 
 constexpr size_t MaxBodyBytes = size_t{1024} * 1024;
+constexpr size_t MaxConnections = 4000;
 
 /** Behaviour that can be switched on. */
 struct Knobs {
@@ -67,14 +68,12 @@
         Ready(Task::now() + milliseconds(FLAGS_start_ms)),
         Server(Owner,
                {.Name = "target",
-                .Ip = Address(FLAGS_address),
-                .Port = FLAGS_port,
-                .MaxBodyBytes = MaxBodyBytes,
-                .CustomHeaders = {productHeaders().begin(),
-                                  productHeaders().end()}},
+                .Local = {.Ip = Address(FLAGS_address), .Port = FLAGS_port},
+                .Limits = {.Message = {.MaxBodyBytes = MaxBodyBytes}},
+                .MaxConnections = MaxConnections},
                {.Requested =
                     [this](ExchangeId Id, const HttpRequest &Request,
-                           const Address &) { this->onRequest(Id, Request); },
+                           const Endpoint &) { this->onRequest(Id, Request); },
                 .Aborted =
                     [this](ExchangeId Id) {
                       this->Cancelled += this->Running.erase(Id);
@@ -84,14 +83,12 @@
     if (FLAGS_node_port != 0)
       this->Node = std::make_unique<HttpClient>(
           this->Owner,
-          HttpClientOptions{.Name = "node",
-                            .LocalIp = {},
-                            .Ip = Address(FLAGS_address),
-                            .Port = FLAGS_node_port,
-                            .Slots = static_cast<size_t>(FLAGS_slots),
-                            .MaxBodyBytes = MaxBodyBytes,
-                            .CustomHeaders = {productHeaders().begin(),
-                                              productHeaders().end()}});
+          HttpClientOptions{
+              .Name = "node",
+              .LocalIp = {},
+              .Remote = {.Ip = Address(FLAGS_address), .Port = FLAGS_node_port},
+              .Slots = static_cast<size_t>(FLAGS_slots),
+              .MaxBodyBytes = MaxBodyBytes});
   }
 
   int run() {
@@ -207,7 +204,8 @@
 
   /** Calls the other service by the node beside, handing on the deadline. */
   void draw(ExchangeId Id, const HttpRequest &Request) {
-    HttpRequest Inner{.Method = "GET", .Target = FLAGS_calls};
+    HttpRequest Inner{
+        .Method = "GET", .Target = FLAGS_calls, .Headers = {{"Host", "mesh"}}};
     for (const char *Name : {header::DeadlineMs, header::Depth})
       Inner.Headers.push_back(
           {Name, std::string(headerValue(Request.Headers, Name))});
--- a/tests/support/callworld.cpp
+++ b/tests/support/callworld.cpp
@@ -189,8 +189,10 @@
   Call->Deadline = Deadline;
   Call->OnEnd = std::move(OnEnd);
   Call->Decisions = std::make_unique<Exchange>(
-      ExchangeOptions{.Service = this->Map->Services[Service],
-                      .Rules = this->Map->Services[Service].Effective,
+      ExchangeOptions{.Map = this->Map,
+                      .Service = &this->Map->Services[Service],
+                      .Rules = &this->Map->Services[Service].Effective,
+                      .Route = RouteName("r"),
                       .Deadline = Deadline},
       *this->Routes, *this->Budgets[Service]);
   this->carryOut(Call, Call->Decisions->start(this->Now));
@@ -291,7 +293,12 @@
     return;
   }
   At.Calls[Key] = {.Call = Call, .Attempt = Attempt};
-  const AdmitResult Result = At.Gate->admit(Key, Call->Deadline, this->Now);
+  const AdmitResult Result = At.Gate->admit({.Key = Key,
+                                             .Route = RouteName("r"),
+                                             .Priority = 1,
+                                             .Aim = Call->Deadline,
+                                             .Deadline = Call->Deadline},
+                                            this->Now);
   if (Result.What == Admitted::Start)
     this->startRun(At, Key);
   else if (Result.What == Admitted::Refuse && !Result.Duplicate)
@@ -340,19 +347,26 @@
     return;
   const Upstream::Arrived Ended = Found->second;
   At.Calls.erase(Found);
-  const LoadReport Load{.SlotsUsed = static_cast<uint16_t>(At.Gate->running()),
-                        .Slots = static_cast<uint16_t>(this->Options.Slots),
-                        .Queued = static_cast<uint16_t>(At.Gate->queued()),
-                        .State = At.Draining ? MemberState::Draining
-                                             : MemberState::Serving};
+  const LoadReport Load{
+      .SlotsUsed = static_cast<uint16_t>(At.Gate->running()),
+      .Slots = static_cast<uint16_t>(this->Options.Slots),
+      .Queued = static_cast<uint16_t>(At.Gate->queued()),
+      .WaitMicros =
+          static_cast<uint32_t>(toMicroseconds(At.Gate->lastWait(this->Now))),
+      .State = At.Draining ? MemberState::Draining : MemberState::Serving};
   this->at(this->Now + this->Options.LinkDelay, [=, this, Name = At.Name] {
     this->Routes->onLoad(Name, Load, this->Now);
     Ended.Call->AnswerGood = Good;
     Ended.Call->AnswerNoRetry = NoRetry;
     this->carryOut(Ended.Call,
                    Ended.Call->Decisions->onReply(
-                       Ended.Attempt, Result, Good ? 200 : 500, "",
-                       NoRetry && this->Options.MarkFailures, this->Now));
+                       Ended.Attempt,
+                       {.Result = Result,
+                        .Status = Good ? 200 : 500,
+                        .Reason = {},
+                        .NoRetry = NoRetry && this->Options.MarkFailures,
+                        .ReachedTarget = Result != Outcome::NotRun},
+                       this->Now));
   });
 }
 
--- a/tests/tree/tree_test.cpp
+++ b/tests/tree/tree_test.cpp
@@ -94,9 +94,11 @@
                                       VersionId(), FailureDomain("p"));
     cr_assert_eq(Made->Services.size(), 2);
     for (const RouteEntry &Route : Made->Routes) {
-      cr_assert_lt(Route.Service, Made->Services.size());
-      for (const Vm &Each : Made->Services[Route.Service].Upstreams)
-        cr_assert(Each.Service == Made->Services[Route.Service].Name);
+      cr_assert_eq(Route.Shares.size(), 1);
+      const size_t Index = Route.Shares.front().Service;
+      cr_assert_lt(Index, Made->Services.size());
+      for (const Vm &Each : Made->Services[Index].Upstreams)
+        cr_assert(Each.Service == Made->Services[Index].Name);
     }
   }
 }
@@ -110,9 +112,10 @@
   const auto Made = compileSnapshot(*Tree.value(), VersionId(), {}, VersionId(),
                                     FailureDomain("p"));
   const auto ServiceOf = [&](const char *Method, const char *Path) {
-    const RouteEntry *Route = Made->findRoute(Method, Path);
-    return Route == nullptr ? std::string("-")
-                            : Made->Services[Route->Service].Name.str();
+    const RouteEntry *Route = Made->findRoute("", Method, Path);
+    return Route == nullptr
+               ? std::string("-")
+               : Made->Services[Route->Shares.front().Service].Name.str();
   };
   cr_expect_str_eq(ServiceOf("GET", "/a").c_str(), "a");
   cr_expect_str_eq(ServiceOf("GET", "/a/x").c_str(), "a");
