An overdue idempotent attempt goes on beside a second one; peers' news are never nested

NotSent came within a call of the peer client, so that an exchange ended inside its own actions: std::out_of_range ended processes.

Change: Exchange holds up to two open attempts; the target's node, which knows when a run began, tells when it is unusually long (mean + 3 deviations). Events of PeerClient are posted. Attempts are found by number with their index.

--- a/src/plugins/admission/admission.cpp
+++ b/src/plugins/admission/admission.cpp
@@ -138,6 +138,18 @@
   this->Seen.set(Key, SeenState::NotRun, Now);
 }
 
+std::vector<RequestKey> Admission::takeOverdue(TimePoint Now) {
+  std::vector<RequestKey> Taken;
+  for (Started &Each : this->Running) {
+    const std::optional<Duration> Longest = this->Work.longest(Each.Route);
+    if (Each.Overdue || !Longest || Now - Each.Time < *Longest)
+      continue;
+    Each.Overdue = true;
+    Taken.push_back(Each.Key);
+  }
+  return Taken;
+}
+
 std::vector<Dequeued> Admission::poll(TimePoint Now) {
   std::vector<Dequeued> Left;
   const std::vector<WaitingRequest> GivenUp =
--- a/src/plugins/admission/admission.h
+++ b/src/plugins/admission/admission.h
@@ -92,6 +92,9 @@
   /** A started request was not run by the target. */
   void onNotRun(const RequestKey &Key, TimePoint Now);
 
+  /** Returns the requests that began to run unusually long; each once. */
+  std::vector<RequestKey> takeOverdue(TimePoint Now);
+
   /** Returns the requests that start or are given up now. */
   std::vector<Dequeued> poll(TimePoint Now);
 
@@ -115,6 +118,7 @@
     RequestKey Key;
     RouteName Route;
     TimePoint Time;
+    bool Overdue = false;
   };
 
   void start(const RequestKey &Key, const RouteName &Route, TimePoint Now);
--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -73,32 +73,36 @@
 
 private:
   PeerServerEvents peerEvents() {
-    return {
-        .Request =
-            [this](StreamId Stream, const RequestKey &Key,
-                   const RequestMessage &Message) {
-              this->Target.request(Key, Message, this->sinkTo(Stream));
-            },
-        .Cancel =
-            [this](StreamId Stream, const RequestKey &Key,
-                   const CancelMessage &Message) {
-              const CancelState State =
-                  this->Target.cancel(Key, Message.Stop, this->sinkTo(Stream));
-              this->Peers.reply(Stream, CancelReplyMessage{.Number = Key.Number,
-                                                           .State = State});
-            },
-        .Load = [this] { return this->Target.load(); },
-        .Malformed =
-            [this](const Error &Failure) {
-              logError(LogLevel::Warning, Failure);
-              this->Context.Counters.add(Metric::Malformed, "peers");
-            }};
+    return {.Request =
+                [this](StreamId Stream, const RequestKey &Key,
+                       const RequestMessage &Message) {
+                  this->Target.request(Key, Message,
+                                       this->sinkTo(Stream, Key.Number));
+                },
+            .Cancel =
+                [this](StreamId Stream, const RequestKey &Key,
+                       const CancelMessage &Message) {
+                  const CancelState State = this->Target.cancel(
+                      Key, Message.Stop, this->sinkTo(Stream, Key.Number));
+                  this->Peers.reply(
+                      Stream,
+                      CancelReplyMessage{.Number = Key.Number, .State = State});
+                },
+            .Load = [this] { return this->Target.load(); },
+            .Malformed =
+                [this](const Error &Failure) {
+                  logError(LogLevel::Warning, Failure);
+                  this->Context.Counters.add(Metric::Malformed, "peers");
+                }};
   }
 
-  UpstreamCalls::Sink sinkTo(StreamId Stream) {
-    return [this, Stream](const ReplyMessage &Message) {
-      this->Peers.reply(Stream, Message);
-    };
+  CallSink sinkTo(StreamId Stream, RequestNumber Number) {
+    return {.Reply =
+                [this, Stream](const ReplyMessage &Message) {
+                  this->Peers.reply(Stream, Message);
+                },
+            .Overdue = [this, Stream,
+                        Number] { this->Peers.sendOverdue(Stream, Number); }};
   }
 
   static std::unique_ptr<CallDialect> dialectOf(const NodeSettings &Settings) {
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -87,21 +87,17 @@
                [this](const CancelReplyMessage &Reply) {
                  this->onCancelReply(Reply);
                },
+           .Overdue =
+               [this](RequestNumber Number) {
+                 this->onAttempt(Number, &Exchange::onOverdue);
+               },
            .NotSent =
                [this](RequestNumber Number) {
-                 CallId Id = 0;
-                 if (Call *Found = this->findAttempt(Number, Id))
-                   this->carryOut(
-                       Id, Found->Decisions->onNotSent(
-                               Found->Decisions->attempts(), Task::now()));
+                 this->onAttempt(Number, &Exchange::onNotSent);
                },
            .Lost =
                [this](RequestNumber Number) {
-                 CallId Id = 0;
-                 if (Call *Found = this->findAttempt(Number, Id))
-                   this->carryOut(
-                       Id, Found->Decisions->onLost(
-                               Found->Decisions->attempts(), Task::now()));
+                 this->onAttempt(Number, &Exchange::onLost);
                },
            .Load =
                [this](const VmName &Name, const LoadReport &Load) {
@@ -267,56 +263,72 @@
   const auto Found = this->Calls.find(Id);
   if (Found == this->Calls.end() || !Found->second.Decisions->done())
     return;
-  this->Peers.forget(Found->second.Attempt);
-  this->ByAttempt.erase(Found->second.Attempt);
+  while (!Found->second.Numbers.empty())
+    this->forgetAttempt(Found->second, Found->second.Numbers.begin()->first);
   this->ByCaller.erase(Found->second.Caller);
   this->Calls.erase(Found);
 }
 
+void OriginCalls::forgetAttempt(Call &Of, int Index) {
+  const auto Found = Of.Numbers.find(Index);
+  if (Found == Of.Numbers.end())
+    return;
+  this->Peers.forget(Found->second);
+  this->Attempts.erase(Found->second);
+  Of.Numbers.erase(Found);
+}
+
 void OriginCalls::act(CallId Id, const StartAttempt &Action) {
   const TimePoint Now = Task::now();
   Call &Target = this->Calls.at(Id);
-  this->Peers.forget(Target.Attempt);
-  this->ByAttempt.erase(Target.Attempt);
-  Target.Attempt = RequestNumber(++this->LastNumber);
-  this->ByAttempt[Target.Attempt] = Id;
-  Target.Message.Number = Target.Attempt;
+  const RequestNumber Number(++this->LastNumber);
+  Target.Numbers[Action.Attempt] = Number;
+  this->Attempts[Number] = {
+      .Call = Id, .Index = Action.Attempt, .Upstream = Action.Upstream};
   Target.Upstream = Action.Upstream;
+  Target.Message.Number = Number;
   Target.Message.Target = Action.Upstream.Target;
   Target.Message.Remaining = microsUntil(Target.Deadline, Now);
   Target.Message.AimRemaining = microsUntil(Target.Aim, Now);
-  Target.Local = Action.Upstream.Name == this->Self.Name;
   this->Counters.add(Metric::Attempts, Action.Attempt == 1 ? "first" : "retry");
-  if (!Target.Local) {
+  if (Action.Upstream.Name != this->Self.Name) {
     this->Peers.sendRequest(Action.Upstream, Target.Message, Now);
     return;
   }
-  const RequestKey Key{.Origin = this->Self.Name,
-                       .Life = this->Self.Life,
-                       .Number = Target.Attempt};
+  const RequestKey Key{
+      .Origin = this->Self.Name, .Life = this->Self.Life, .Number = Number};
   this->Owner.post([this, Key, Message = Target.Message] {
-    this->Local.request(Key, Message, [this](const ReplyMessage &Reply) {
-      this->Routes.onLoad(this->Self.Name, Reply.Load, Task::now());
-      this->onReply(Reply);
-    });
+    this->Local.request(Key, Message,
+                        {.Reply =
+                             [this](const ReplyMessage &Reply) {
+                               this->Routes.onLoad(this->Self.Name, Reply.Load,
+                                                   Task::now());
+                               this->onReply(Reply);
+                             },
+                         .Overdue =
+                             [this, Number = Key.Number] {
+                               this->onAttempt(Number, &Exchange::onOverdue);
+                             }});
   });
 }
 
 void OriginCalls::act(CallId Id, const CancelAttempt &Action) {
   Call &Target = this->Calls.at(Id);
-  if (!Target.Local) {
-    this->Peers.sendCancel(Action.Upstream, Target.Attempt, Action.Stop,
-                           Task::now());
-    if (Action.Stop)
-      this->Peers.forget(Target.Attempt);
+  const auto Known = Target.Numbers.find(Action.Attempt);
+  if (Known == Target.Numbers.end())
     return;
+  const RequestNumber Number = Known->second;
+  if (Action.Upstream.Name != this->Self.Name) {
+    this->Peers.sendCancel(Action.Upstream, Number, Action.Stop, Task::now());
+  } else {
+    const RequestKey Key{
+        .Origin = this->Self.Name, .Life = this->Self.Life, .Number = Number};
+    this->Owner.post([this, Key, Stop = Action.Stop] {
+      this->Local.cancel(Key, Stop, CallSink());
+    });
   }
-  const RequestKey Key{.Origin = this->Self.Name,
-                       .Life = this->Self.Life,
-                       .Number = Target.Attempt};
-  this->Owner.post([this, Key, Stop = Action.Stop] {
-    this->Local.cancel(Key, Stop, [](const ReplyMessage &) {});
-  });
+  if (Action.Stop)
+    this->forgetAttempt(Target, Action.Attempt);
 }
 
 void OriginCalls::act(CallId Id, const ForwardAnswer &) {
@@ -349,7 +361,6 @@
             {"route", Of.Message.Route.str()},
             {"upstream", Of.Upstream.Name.str()},
             {"target", Of.Upstream.Target.str()},
-            {"attempt", Of.Attempt.value()},
             {"attempts", Of.Decisions->attempts()},
             {"outcome", Outcome},
             {"status", Status},
@@ -359,42 +370,50 @@
             {"version", this->Current->Version.text()}});
 }
 
-OriginCalls::Call *OriginCalls::findAttempt(RequestNumber Number, CallId &Id) {
-  const auto Attempt = this->ByAttempt.find(Number);
-  if (Attempt == this->ByAttempt.end())
-    return nullptr;
-  Id = Attempt->second;
-  const auto Found = this->Calls.find(Id);
-  return Found == this->Calls.end() ? nullptr : &Found->second;
+void OriginCalls::onAttempt(RequestNumber Number,
+                            ExchangeActions (Exchange::*Event)(int,
+                                                               TimePoint)) {
+  const auto Found = this->Attempts.find(Number);
+  if (Found == this->Attempts.end())
+    return;
+  const Attempt Known = Found->second;
+  Exchange &Decisions = *this->Calls.at(Known.Call).Decisions;
+  this->carryOut(Known.Call, (Decisions.*Event)(Known.Index, Task::now()));
 }
 
 void OriginCalls::onReply(const ReplyMessage &Reply) {
-  CallId Id = 0;
-  Call *Found = this->findAttempt(Reply.Number, Id);
-  if (Found == nullptr)
+  const auto Found = this->Attempts.find(Reply.Number);
+  if (Found == this->Attempts.end())
     return;
-  Found->Answer = Reply.Answer;
-  if (Reply.Result == Outcome::Answered)
-    this->Routes.onRun(Found->Upstream.id(), Found->Message.Route,
+  const Attempt Known = Found->second;
+  Call &Target = this->Calls.at(Known.Call);
+  if (Reply.Result == Outcome::Answered) {
+    Target.Answer = Reply.Answer;
+    Target.Upstream = Known.Upstream;
+    this->Routes.onRun(Known.Upstream.id(), Target.Message.Route,
                        microseconds(Reply.RunMicros));
-  this->carryOut(Id, Found->Decisions->onReply(
-                         Found->Decisions->attempts(),
-                         {.Result = Reply.Result,
-                          .Status = Reply.Answer.Status,
-                          .Reason = Reply.Reason,
-                          .NoRetry = Reply.NoRetry,
-                          .ReachedTarget = Reply.ReachedTarget,
-                          .RetryAfter = microseconds(Reply.RetryAfterMicros)},
-                         Task::now()));
+  }
+  this->forgetAttempt(Target, Known.Index);
+  this->carryOut(Known.Call,
+                 Target.Decisions->onReply(
+                     Known.Index,
+                     {.Result = Reply.Result,
+                      .Status = Reply.Answer.Status,
+                      .Reason = Reply.Reason,
+                      .NoRetry = Reply.NoRetry,
+                      .ReachedTarget = Reply.ReachedTarget,
+                      .RetryAfter = microseconds(Reply.RetryAfterMicros)},
+                     Task::now()));
 }
 
 void OriginCalls::onCancelReply(const CancelReplyMessage &Reply) {
-  CallId Id = 0;
-  Call *Found = this->findAttempt(Reply.Number, Id);
-  if (Found != nullptr)
-    this->carryOut(Id,
-                   Found->Decisions->onCancelReply(Found->Decisions->attempts(),
-                                                   Reply.State, Task::now()));
+  const auto Found = this->Attempts.find(Reply.Number);
+  if (Found == this->Attempts.end())
+    return;
+  const Attempt Known = Found->second;
+  Exchange &Decisions = *this->Calls.at(Known.Call).Decisions;
+  this->carryOut(Known.Call, Decisions.onCancelReply(Known.Index, Reply.State,
+                                                     Task::now()));
 }
 
 void OriginCalls::onAborted(ExchangeId Caller) {
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -65,19 +65,28 @@
     TimePoint Aim;
     TimePoint Deadline;
 
-    /** Number of the current attempt, and where it went. */
-    RequestNumber Attempt;
+    /** Numbers of the attempts that have not ended. */
+    std::map<int, RequestNumber> Numbers;
+
+    /** Where the last attempt went. */
     Vm Upstream;
 
-    /** The answer of the current attempt, until it is forwarded. */
+    /** The answer of an attempt, until it is forwarded. */
     HttpResponse Answer;
-
-    /** The attempt runs at the target beside this node. */
-    bool Local = false;
   };
 
   using CallId = uint64_t;
 
+  /** An attempt that has not ended. */
+  struct Attempt {
+    CallId Call = 0;
+
+    /** Number of the attempt in its exchange. */
+    int Index = 0;
+
+    Vm Upstream;
+  };
+
   void onRequest(ExchangeId Caller, const HttpRequest &Request);
   void onAborted(ExchangeId Caller);
   void begin(ExchangeId Caller, const HttpRequest &Request,
@@ -91,7 +100,9 @@
   void act(CallId Id, const FailCall &Action);
   void onReply(const ReplyMessage &Reply);
   void onCancelReply(const CancelReplyMessage &Reply);
-  Call *findAttempt(RequestNumber Number, CallId &Id);
+  void onAttempt(RequestNumber Number,
+                 ExchangeActions (Exchange::*Event)(int, TimePoint));
+  void forgetAttempt(Call &Of, int Index);
   void refuse(ExchangeId Caller, const HttpRequest &Request, int Status,
               const std::string &Reason);
   HttpResponse ownAnswer(int Status, const char *Outcome,
@@ -119,7 +130,7 @@
   PeerClient Peers;
   std::map<CallId, Call> Calls;
   std::map<ExchangeId, CallId> ByCaller;
-  std::map<RequestNumber, CallId> ByAttempt;
+  std::map<RequestNumber, Attempt> Attempts;
   uint64_t LastNumber = 0;
   CallId LastCall = 0;
   TimePoint LastRequest;
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -129,7 +129,7 @@
 
 bool UpstreamCalls::joinEarlierRun(const RequestKey &Key,
                                    const RequestMessage &Message,
-                                   const Sink &Reply, std::string &KeyName) {
+                                   const CallSink &To, std::string &KeyName) {
   const std::string &KeyHeader = this->Dialect.names().IdempotencyKey;
   if (KeyHeader.empty())
     return false;
@@ -144,7 +144,7 @@
   case KeyVerdict::Run:
     return false;
   case KeyVerdict::Join:
-    this->Joined.emplace(Key, Reply);
+    this->Joined.emplace(Key, To);
     return true;
   case KeyVerdict::Repeat:
     Answer = this->Keys.ended(KeyName);
@@ -162,7 +162,7 @@
     Answer.NoRetry = true;
     break;
   }
-  Reply(Answer);
+  To.Reply(Answer);
   return true;
 }
 
@@ -177,7 +177,7 @@
 }
 
 void UpstreamCalls::request(const RequestKey &Key,
-                            const RequestMessage &Message, Sink Reply) {
+                            const RequestMessage &Message, CallSink To) {
   const TimePoint Now = Task::now();
   const TimePoint Deadline =
       Now + microseconds(static_cast<int64_t>(Message.Remaining));
@@ -187,13 +187,13 @@
     return;
   const char *NotReady = this->whyNotReady(Message);
   std::string KeyName;
-  if (NotReady == nullptr && this->joinEarlierRun(Key, Message, Reply, KeyName))
+  if (NotReady == nullptr && this->joinEarlierRun(Key, Message, To, KeyName))
     return;
   if (this->Calls.empty())
     this->OnFirst();
   this->Calls[Key] = {.Message = Message,
                       .Deadline = Deadline,
-                      .Reply = std::move(Reply),
+                      .To = std::move(To),
                       .KeyName = KeyName};
   if (NotReady != nullptr) {
     this->refuse(Key, NotReady);
@@ -356,18 +356,18 @@
         continue;
       ReplyMessage Copy = Message;
       Copy.Number = Other.Number;
-      Waiting->second(Copy);
+      Waiting->second.Reply(Copy);
       this->Joined.erase(Waiting);
     }
-  if (Ended.Reply)
-    Ended.Reply(Message);
+  if (Ended.To.Reply)
+    Ended.To.Reply(Message);
 }
 
 CancelState UpstreamCalls::cancel(const RequestKey &Key, bool Stop,
-                                  Sink Reply) {
+                                  CallSink To) {
   const auto Waiting = this->Joined.find(Key);
   if (Waiting != this->Joined.end()) {
-    Waiting->second = std::move(Reply);
+    Waiting->second = std::move(To);
     return CancelState::Running;
   }
   const CancelState State = this->Gate.cancel(Key, Task::now());
@@ -375,11 +375,11 @@
   if (Found == this->Calls.end())
     return State;
   if (State == CancelState::NotRun) {
-    Found->second.Reply = nullptr;
+    Found->second.To = CallSink();
     this->refuse(Key, "cancelled");
     return State;
   }
-  Found->second.Reply = std::move(Reply);
+  Found->second.To = std::move(To);
   const bool Shared = !Found->second.KeyName.empty();
   if (Stop && Found->second.Running && !Shared)
     this->Target->cancel(Found->second.Slot, "cancelled by the caller");
@@ -388,6 +388,11 @@
 
 void UpstreamCalls::poll(TimePoint Now) {
   this->runQueue(Now);
+  for (const RequestKey &Key : this->Gate.takeOverdue(Now)) {
+    const auto Found = this->Calls.find(Key);
+    if (Found != this->Calls.end() && Found->second.To.Overdue)
+      Found->second.To.Overdue();
+  }
   this->Counters.set(Metric::SlotsUsed, "",
                      static_cast<double>(this->Gate.running()));
   this->Counters.set(Metric::QueueLength, "",
--- a/src/plugins/http/upstreamcalls.h
+++ b/src/plugins/http/upstreamcalls.h
@@ -19,6 +19,15 @@
 class Metrics;
 class Task;
 
+/** Where the news of a request go. */
+struct CallSink {
+  /** The request has ended; called once. */
+  std::function<void(const ReplyMessage &)> Reply;
+
+  /** The target takes unusually long for it. */
+  std::function<void()> Overdue;
+};
+
 /**
  * Runs calls at the target beside this node, whoever they come from: admits
  * them, hands them to the target and says what truly became of each.
@@ -27,8 +36,6 @@
  */
 class UpstreamCalls {
 public:
-  using Sink = std::function<void(const ReplyMessage &)>;
-
   /**
    * \a OnFirst is called when the first request opens; from then on poll()
    * is needed often. \pre the references outlive the object.
@@ -54,12 +61,12 @@
   /** Starts nothing before \a Until. */
   void holdUntil(TimePoint Until) { this->Gate.holdUntil(Until); }
 
-  /** Takes a request; \a Reply is called once, perhaps within the call. */
+  /** Takes a request; \a To may be called within the call. */
   void request(const RequestKey &Key, const RequestMessage &Message,
-               Sink Reply);
+               CallSink To);
 
-  /** Cancels a request; a running one now answers to \a Reply. */
-  CancelState cancel(const RequestKey &Key, bool Stop, Sink Reply);
+  /** Cancels a request; a running one now answers to \a To. */
+  CancelState cancel(const RequestKey &Key, bool Stop, CallSink To);
 
   /** Time has passed; to be called every few milliseconds. */
   void poll(TimePoint Now);
@@ -73,7 +80,7 @@
   struct Call {
     RequestMessage Message;
     TimePoint Deadline;
-    Sink Reply;
+    CallSink To;
     std::string KeyName;
     TimePoint Started;
     size_t Slot = 0;
@@ -81,7 +88,7 @@
   };
 
   bool joinEarlierRun(const RequestKey &Key, const RequestMessage &Message,
-                      const Sink &Reply, std::string &KeyName);
+                      const CallSink &To, std::string &KeyName);
   const char *whyNotReady(const RequestMessage &Message) const;
   void connectTarget(size_t Slots);
   void start(const RequestKey &Key);
@@ -112,7 +119,7 @@
   std::map<RequestKey, Call> Calls;
 
   /** Requests that joined the run of another under the same key. */
-  std::map<RequestKey, Sink> Joined;
+  std::map<RequestKey, CallSink> Joined;
 
   MemberState State = MemberState::Starting;
 };
--- a/src/plugins/peer/peerclient.cpp
+++ b/src/plugins/peer/peerclient.cpp
@@ -23,7 +23,8 @@
 
 PeerClient::PeerClient(Task &Owner, const Address &LocalIp, int PeerPort,
                        PeerIdentity Self, PeerClientEvents Events)
-    : PeerPort(PeerPort), Self(std::move(Self)), Events(std::move(Events)),
+    : Owner(Owner), PeerPort(PeerPort), Self(std::move(Self)),
+      Events(std::move(Events)),
       Streams(Owner,
               {.Name = "peer-client",
                .Ip = LocalIp,
@@ -90,7 +91,11 @@
     return;
   }
   this->Requests.erase(Known);
-  this->Events.NotSent(Message.Number);
+  this->reportNotSent(Message.Number);
+}
+
+void PeerClient::reportNotSent(RequestNumber Number) {
+  this->Owner.post([this, Number] { this->Events.NotSent(Number); });
 }
 
 void PeerClient::sendCancel(const Vm &Upstream, RequestNumber Number, bool Stop,
@@ -100,7 +105,8 @@
     return;
   if (!Known->second.Written) {
     this->Requests.erase(Known);
-    this->Events.NotSent(Number);
+    if (!Stop)
+      this->reportNotSent(Number);
     return;
   }
   StreamId Stream;
@@ -112,6 +118,8 @@
     Target.Waiting.emplace_back(Message);
   else
     this->Streams.send(Stream, peerFrame(PeerFrame::Cancel, Message));
+  if (Stop)
+    this->forget(Number);
 }
 
 bool PeerClient::onHello(StreamId Stream, Link &Source, const Frame &Value) {
@@ -150,6 +158,7 @@
   ReplyMessage Reply;
   CancelReplyMessage Cancelled;
   PongMessage Pong;
+  OverdueMessage Late;
   if (readPeerFrame(Value, PeerFrame::Reply, Reply)) {
     this->Events.Load(Source.Name, Reply.Load);
     const auto Request = this->Requests.find(Reply.Number);
@@ -160,6 +169,9 @@
   } else if (readPeerFrame(Value, PeerFrame::CancelReply, Cancelled)) {
     if (this->Requests.contains(Cancelled.Number))
       this->Events.CancelReply(Cancelled);
+  } else if (readPeerFrame(Value, PeerFrame::Overdue, Late)) {
+    if (this->Requests.contains(Late.Number))
+      this->Events.Overdue(Late.Number);
   } else if (readPeerFrame(Value, PeerFrame::Pong, Pong)) {
     this->Events.Load(Source.Name, Pong.Load);
   } else {
--- a/src/plugins/peer/peerclient.h
+++ b/src/plugins/peer/peerclient.h
@@ -15,11 +15,17 @@
 
 namespace bluebellbarrow {
 
-/** What a client reports; each member is called on the client's task. */
+/**
+ * What a client reports; each member is called on the client's task and never
+ * within a call of the client.
+ */
 struct PeerClientEvents {
   std::function<void(const ReplyMessage &)> Reply;
   std::function<void(const CancelReplyMessage &)> CancelReply;
 
+  /** The target takes unusually long for the request. */
+  std::function<void(RequestNumber)> Overdue;
+
   /** Nothing of the request was handed to the system. */
   std::function<void(RequestNumber)> NotSent;
 
@@ -57,6 +63,7 @@
   /**
    * Asks about a request that sendRequest() was given. Lost or CancelReply
    * follows; NotSent when the request itself still waited for the stream.
+   * With \a Stop the request is forgotten, and nothing follows.
    */
   void sendCancel(const Vm &Upstream, RequestNumber Number, bool Stop,
                   TimePoint Now);
@@ -100,12 +107,14 @@
 
   Link &linkTo(const Vm &Upstream, StreamId &Stream, TimePoint Now);
   void onReceived(StreamId Stream, const Frame &Value);
+  void reportNotSent(RequestNumber Number);
   void pollSilence(StreamId Stream, Link &Target, TimePoint Now);
   bool onHello(StreamId Stream, Link &Source, const Frame &Value);
   void onClosed(StreamId Stream);
   void write(StreamId Stream, Link &Target, RequestMessage &Message);
   void malformed(StreamId Stream, const Link &Source, const char *Detail);
 
+  Task &Owner;
   int PeerPort;
   PeerIdentity Self;
   PeerClientEvents Events;
--- a/src/plugins/peer/peermessages.h
+++ b/src/plugins/peer/peermessages.h
@@ -170,6 +170,13 @@
   template <typename Archive> void serialize(Archive &Ar) { Ar(this->Load); }
 };
 
+/** Tells that the target takes unusually long for a request. */
+struct OverdueMessage {
+  RequestNumber Number;
+
+  template <typename Archive> void serialize(Archive &Ar) { Ar(this->Number); }
+};
+
 /** Kinds of frames between nodes that carry calls. */
 enum class PeerFrame : uint8_t {
   Hello = 1,
@@ -179,6 +186,7 @@
   CancelReply = 5,
   Ping = 6,
   Pong = 7,
+  Overdue = 8,
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/peer/peerserver.cpp
+++ b/src/plugins/peer/peerserver.cpp
@@ -35,6 +35,11 @@
   this->Streams.send(Stream, peerFrame(PeerFrame::CancelReply, Message));
 }
 
+void PeerServer::sendOverdue(StreamId Stream, RequestNumber Number) {
+  this->Streams.send(
+      Stream, peerFrame(PeerFrame::Overdue, OverdueMessage{.Number = Number}));
+}
+
 void PeerServer::onHello(StreamId Stream, const Frame &Value) {
   HelloMessage Hello;
   if (!readPeerFrame(Value, PeerFrame::Hello, Hello) ||
--- a/src/plugins/peer/peerserver.h
+++ b/src/plugins/peer/peerserver.h
@@ -43,6 +43,9 @@
 
   void reply(StreamId Stream, const CancelReplyMessage &Message);
 
+  /** Tells that a request takes unusually long. */
+  void sendOverdue(StreamId Stream, RequestNumber Number);
+
 private:
   struct Origin {
     VmName Name;
--- a/src/plugins/routing/exchange.cpp
+++ b/src/plugins/routing/exchange.cpp
@@ -8,48 +8,50 @@
 
 /** Time after the deadline in which the upstream's own answer may still come.
  */
-constexpr Duration ReplyGrace = milliseconds(20);
+constexpr Duration ReplyGrace = milliseconds(60);
 
 /** Time for which the end of a broken attempt is asked for. */
 constexpr Duration ResolveTime = milliseconds(500);
 
-/** Shortest time that an idempotent attempt gets before the next one. */
-constexpr Duration MinAttemptTime = milliseconds(50);
-
-/** Usual runs after which an idempotent attempt counts as lost. */
-constexpr int OverdueRuns = 4;
-
 /** Upstreams that may refuse a request before its caller is refused. */
 constexpr int MaxRefusals = 4;
 
+/** Attempts of one call that may be open at once. */
+constexpr size_t MaxOpen = 2;
+
 /** Time to come back when no upstream said one. */
 constexpr Duration DefaultRetryAfter = milliseconds(200);
 
 constexpr int FirstServerError = 500;
 
+void append(ExchangeActions &Target, const ExchangeActions &More) {
+  Target.insert(Target.end(), More.begin(), More.end());
+}
+
 } // namespace
 
+Exchange::Exchange(ExchangeOptions NewOptions, Router &Routes,
+                   RetryBudget &Budget)
+    : Options(std::move(NewOptions)), Routes(Routes), Budget(Budget),
+      NextDeadline(this->Options.Deadline + ReplyGrace) {}
+
 ExchangeActions Exchange::start(TimePoint Now) {
   this->Budget.onFirstAttempt(Now);
   return this->tryNext(Now);
 }
 
-bool Exchange::isCurrent(int Attempt) const {
-  return !this->Done && this->Current && Attempt == this->LastAttempt;
+Exchange::Open *Exchange::find(int Attempt) {
+  const auto Found = std::find_if(
+      this->Active.begin(), this->Active.end(),
+      [Attempt](const Open &Each) { return Each.Attempt == Attempt; });
+  return this->Done || Found == this->Active.end() ? nullptr : &*Found;
 }
 
-TimePoint Exchange::attemptDeadline(TimePoint Now) const {
-  const TimePoint Last = this->Options.Deadline + ReplyGrace;
-  const Policy &Rules = *this->Options.Rules;
-  const bool MayRetry = Rules.Idempotent && this->Arrivals < Rules.Retries &&
-                        this->Options.IdempotencyKey.empty();
-  if (!MayRetry)
-    return Last;
-  const Duration Share =
-      (this->Options.Deadline - Now) / (Rules.Retries - this->Arrivals + 1);
-  const Duration Usual =
-      OverdueRuns * this->Routes.usualRun(this->Options.Route);
-  return std::min(Last, Now + std::max({Share, Usual, MinAttemptTime}));
+void Exchange::updateDeadline() {
+  this->NextDeadline = this->Options.Deadline + ReplyGrace;
+  for (const Open &Each : this->Active)
+    if (Each.ResolveUntil)
+      this->NextDeadline = std::min(this->NextDeadline, *Each.ResolveUntil);
 }
 
 ExchangeActions Exchange::tryNext(TimePoint Now) {
@@ -59,24 +61,30 @@
                               *this->Options.Rules, this->Tried, Now)
           : Router::ownerOf(*this->Options.Service,
                             this->Options.IdempotencyKey);
+  if (Next == nullptr && !this->Active.empty())
+    return {};
   if (Next == nullptr)
     return this->fail(this->MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
                       "no upstream takes work", false);
-  this->Current = *Next;
   this->Tried.push_back(Next->id());
   this->LastAttempt += 1;
-  this->Resolving = false;
-  this->NextDeadline = this->attemptDeadline(Now);
+  this->Active.push_back({.Attempt = this->LastAttempt,
+                          .Upstream = *Next,
+                          .ResolveUntil = std::nullopt});
   this->Routes.onSent(Next->id(), Now);
   return {StartAttempt{.Attempt = this->LastAttempt, .Upstream = *Next}};
 }
 
-void Exchange::endAttempt(AttemptEnd End, TimePoint Now) {
-  this->Routes.onEnd(this->Current->id(), End, Now);
-  this->Current.reset();
+void Exchange::endAttempt(int Attempt, AttemptEnd How, TimePoint Now) {
+  const Open *Ended = this->find(Attempt);
+  this->Routes.onEnd(Ended->Upstream.id(), How, Now);
   const bool Arrived =
-      End != AttemptEnd::Refused && End != AttemptEnd::Unreachable;
+      How != AttemptEnd::Refused && How != AttemptEnd::Unreachable;
   this->Arrivals += Arrived ? 1 : 0;
+  std::erase_if(this->Active, [Attempt](const Open &Each) {
+    return Each.Attempt == Attempt;
+  });
+  this->updateDeadline();
 }
 
 ExchangeActions Exchange::fail(Outcome Result, const std::string &Reason,
@@ -88,12 +96,34 @@
                    .RetryAfter = this->RetryAfter.value_or(DefaultRetryAfter)}};
 }
 
+ExchangeActions Exchange::stopAll(TimePoint Now, AttemptEnd End) {
+  ExchangeActions Actions;
+  while (!this->Active.empty()) {
+    const Open Stopped = this->Active.front();
+    Actions.emplace_back(CancelAttempt{.Attempt = Stopped.Attempt,
+                                       .Upstream = Stopped.Upstream,
+                                       .Stop = true});
+    this->endAttempt(Stopped.Attempt, End, Now);
+  }
+  return Actions;
+}
+
+bool Exchange::mayTryAgain(TimePoint Now) const {
+  const auto Arrived =
+      this->Arrivals + static_cast<int64_t>(this->Active.size());
+  return this->Options.IdempotencyKey.empty() &&
+         Arrived <= this->Options.Rules->Retries &&
+         Now < this->Options.Deadline;
+}
+
 ExchangeActions Exchange::placeElsewhere(const AttemptReply &Reply,
                                          TimePoint Now) {
   this->Refusals += 1;
   if (Reply.RetryAfter > Duration::zero())
     this->RetryAfter =
         std::min(this->RetryAfter.value_or(Reply.RetryAfter), Reply.RetryAfter);
+  if (!this->Active.empty())
+    return {};
   const bool Allowed = !Reply.NoRetry && this->Refusals < MaxRefusals &&
                        this->Options.IdempotencyKey.empty() &&
                        Now < this->Options.Deadline;
@@ -107,13 +137,12 @@
                                       bool NoRetry, TimePoint Now) {
   if (Result == Outcome::Unknown)
     this->MayHaveRun = true;
+  if (!this->Active.empty())
+    return {};
   const bool Safe =
       Result == Outcome::NotRun || this->Options.Rules->Idempotent;
-  const bool Allowed = Safe && !NoRetry &&
-                       this->Options.IdempotencyKey.empty() &&
-                       this->Arrivals <= this->Options.Rules->Retries &&
-                       Now < this->Options.Deadline;
-  if (Allowed && this->Budget.tryWithdraw(Now))
+  if (Safe && !NoRetry && this->mayTryAgain(Now) &&
+      this->Budget.tryWithdraw(Now))
     return this->tryNext(Now);
   return this->fail(this->MayHaveRun ? Outcome::Unknown : Result, Reason,
                     Now >= this->Options.Deadline);
@@ -121,99 +150,116 @@
 
 ExchangeActions Exchange::onReply(int Attempt, const AttemptReply &Reply,
                                   TimePoint Now) {
-  if (!this->isCurrent(Attempt))
+  if (this->find(Attempt) == nullptr)
     return {};
   if (Reply.Result == Outcome::Answered) {
-    this->endAttempt(Reply.Status >= FirstServerError ? AttemptEnd::Failed
+    this->endAttempt(Attempt,
+                     Reply.Status >= FirstServerError ? AttemptEnd::Failed
                                                       : AttemptEnd::Good,
                      Now);
+    ExchangeActions Actions = {ForwardAnswer{Attempt}};
+    append(Actions, this->stopAll(Now, AttemptEnd::Abandoned));
     this->Done = true;
-    return {ForwardAnswer{Attempt}};
+    return Actions;
   }
   if (Reply.Result == Outcome::NotRun && !Reply.ReachedTarget) {
-    this->endAttempt(AttemptEnd::Refused, Now);
+    this->endAttempt(Attempt, AttemptEnd::Refused, Now);
     return this->placeElsewhere(Reply, Now);
   }
-  this->endAttempt(Reply.Result == Outcome::NotRun ? AttemptEnd::Shed
+  this->endAttempt(Attempt,
+                   Reply.Result == Outcome::NotRun ? AttemptEnd::Shed
                                                    : AttemptEnd::Failed,
                    Now);
   return this->retryOrFail(Reply.Result, Reply.Reason, Reply.NoRetry, Now);
 }
 
 ExchangeActions Exchange::onNotSent(int Attempt, TimePoint Now) {
-  if (!this->isCurrent(Attempt))
+  if (this->find(Attempt) == nullptr)
     return {};
-  this->endAttempt(AttemptEnd::Unreachable, Now);
+  this->endAttempt(Attempt, AttemptEnd::Unreachable, Now);
   return this->placeElsewhere(
       {.Result = Outcome::NotRun, .Reason = "upstream can't be reached"}, Now);
 }
 
 ExchangeActions Exchange::onLost(int Attempt, TimePoint Now) {
-  if (!this->isCurrent(Attempt))
+  Open *Lost = this->find(Attempt);
+  if (Lost == nullptr)
     return {};
-  if (this->Resolving || this->Options.Rules->Idempotent) {
-    this->endAttempt(AttemptEnd::Failed, Now);
+  if (Lost->ResolveUntil || this->Options.Rules->Idempotent) {
+    this->endAttempt(Attempt, AttemptEnd::Failed, Now);
     return this->retryOrFail(Outcome::Unknown, "connection to upstream broke",
                              false, Now);
   }
-  this->Resolving = true;
-  this->NextDeadline = std::min(this->NextDeadline, Now + ResolveTime);
+  Lost->ResolveUntil = Now + ResolveTime;
+  this->updateDeadline();
   return {CancelAttempt{
-      .Attempt = Attempt, .Upstream = *this->Current, .Stop = false}};
+      .Attempt = Attempt, .Upstream = Lost->Upstream, .Stop = false}};
 }
 
 ExchangeActions Exchange::onCancelReply(int Attempt, CancelState State,
                                         TimePoint Now) {
-  if (!this->isCurrent(Attempt))
+  Open *Asked = this->find(Attempt);
+  if (Asked == nullptr)
     return {};
   switch (State) {
   case CancelState::NotRun:
-    this->endAttempt(AttemptEnd::Refused, Now);
+    this->endAttempt(Attempt, AttemptEnd::Refused, Now);
     return this->placeElsewhere(
         {.Result = Outcome::NotRun, .Reason = "cancelled"}, Now);
   case CancelState::Running:
-    this->Resolving = false;
-    this->NextDeadline = this->Options.Deadline + ReplyGrace;
+    Asked->ResolveUntil.reset();
+    this->updateDeadline();
     return {};
   case CancelState::Finished:
-    this->endAttempt(AttemptEnd::Failed, Now);
+    this->endAttempt(Attempt, AttemptEnd::Failed, Now);
     return this->retryOrFail(Outcome::Unknown, "the answer was lost", false,
                              Now);
   case CancelState::OtherLife:
-    this->endAttempt(AttemptEnd::Failed, Now);
+    this->endAttempt(Attempt, AttemptEnd::Failed, Now);
     return this->retryOrFail(Outcome::Unknown, "upstream's node restarted",
                              false, Now);
   }
   return {};
 }
 
+ExchangeActions Exchange::onOverdue(int Attempt, TimePoint Now) {
+  const bool Allowed = this->find(Attempt) != nullptr &&
+                       this->Options.Rules->Idempotent &&
+                       this->Active.size() < MaxOpen && this->mayTryAgain(Now);
+  if (!Allowed || !this->Budget.tryWithdraw(Now))
+    return {};
+  return this->tryNext(Now);
+}
+
 ExchangeActions Exchange::onTime(TimePoint Now) {
-  if (this->Done || !this->Current || Now < this->NextDeadline)
+  if (this->Done || Now < this->NextDeadline)
     return {};
-  const bool Late = Now >= this->Options.Deadline;
-  const Vm Upstream = *this->Current;
-  const int Attempt = this->LastAttempt;
-  this->endAttempt(AttemptEnd::Failed, Now);
-  ExchangeActions Actions = {
-      CancelAttempt{.Attempt = Attempt, .Upstream = Upstream, .Stop = true}};
-  const ExchangeActions More = this->retryOrFail(
-      Outcome::Unknown,
-      Late ? "no answer within the deadline" : "no answer from upstream", false,
-      Now);
-  Actions.insert(Actions.end(), More.begin(), More.end());
-  return Actions;
+  if (Now >= this->Options.Deadline + ReplyGrace) {
+    ExchangeActions Actions = this->stopAll(Now, AttemptEnd::Failed);
+    append(Actions,
+           this->fail(Outcome::Unknown, "no answer within the deadline", true));
+    return Actions;
+  }
+  for (const Open &Each : this->Active) {
+    if (!Each.ResolveUntil || Now < *Each.ResolveUntil)
+      continue;
+    ExchangeActions Actions = {CancelAttempt{
+        .Attempt = Each.Attempt, .Upstream = Each.Upstream, .Stop = true}};
+    this->endAttempt(Each.Attempt, AttemptEnd::Failed, Now);
+    append(Actions,
+           this->retryOrFail(Outcome::Unknown, "connection to upstream broke",
+                             false, Now));
+    return Actions;
+  }
+  return {};
 }
 
 ExchangeActions Exchange::onAborted(TimePoint Now) {
   if (this->Done)
     return {};
+  ExchangeActions Actions = this->stopAll(Now, AttemptEnd::Abandoned);
   this->Done = true;
-  if (!this->Current)
-    return {};
-  const Vm Upstream = *this->Current;
-  this->endAttempt(AttemptEnd::Abandoned, Now);
-  return {CancelAttempt{
-      .Attempt = this->LastAttempt, .Upstream = Upstream, .Stop = true}};
+  return Actions;
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/routing/exchange.h
+++ b/src/plugins/routing/exchange.h
@@ -91,14 +91,14 @@
  * An attempt that an upstream's node refuses has cost the target nothing and
  * is placed elsewhere. One that reached a target is repeated only when it is
  * known not to have run, or when the route is idempotent; within the route's
- * retries, the retry budget and the deadline.
+ * retries, the retry budget and the deadline. An idempotent attempt that is
+ * overdue goes on while a second one is made; the first answer counts.
  * A decision object. Thread safety: none; owned by one task.
  */
 class Exchange {
 public:
   /** \pre \a Routes and \a Budget outlive the exchange. */
-  Exchange(ExchangeOptions Options, Router &Routes, RetryBudget &Budget)
-      : Options(std::move(Options)), Routes(Routes), Budget(Budget) {}
+  Exchange(ExchangeOptions Options, Router &Routes, RetryBudget &Budget);
 
   ExchangeActions start(TimePoint Now);
 
@@ -115,6 +115,9 @@
   /** A CancelAttempt was answered. */
   ExchangeActions onCancelReply(int Attempt, CancelState State, TimePoint Now);
 
+  /** The target takes much longer than usual for the attempt. */
+  ExchangeActions onOverdue(int Attempt, TimePoint Now);
+
   /** Time has passed; to be called at nextDeadline(). */
   ExchangeActions onTime(TimePoint Now);
 
@@ -126,22 +129,34 @@
 
   bool done() const { return this->Done; }
 
+  /** Returns the attempts made so far. */
   int attempts() const { return this->LastAttempt; }
 
 private:
+  /** An attempt that has not ended. */
+  struct Open {
+    int Attempt = 0;
+    Vm Upstream;
+
+    /** Its connection broke; until then its end is asked for. */
+    std::optional<TimePoint> ResolveUntil;
+  };
+
+  Open *find(int Attempt);
   ExchangeActions tryNext(TimePoint Now);
   ExchangeActions placeElsewhere(const AttemptReply &Reply, TimePoint Now);
   ExchangeActions retryOrFail(Outcome Result, const std::string &Reason,
                               bool NoRetry, TimePoint Now);
   ExchangeActions fail(Outcome Result, const std::string &Reason, bool Late);
-  void endAttempt(AttemptEnd End, TimePoint Now);
-  bool isCurrent(int Attempt) const;
-  TimePoint attemptDeadline(TimePoint Now) const;
+  ExchangeActions stopAll(TimePoint Now, AttemptEnd End);
+  bool mayTryAgain(TimePoint Now) const;
+  void endAttempt(int Attempt, AttemptEnd How, TimePoint Now);
+  void updateDeadline();
 
   ExchangeOptions Options;
   Router &Routes;
   RetryBudget &Budget;
-  std::optional<Vm> Current;
+  std::vector<Open> Active;
   std::vector<UpstreamId> Tried;
   int LastAttempt = 0;
 
@@ -157,9 +172,6 @@
   /** True once an attempt may have run, so "not run" can't be said. */
   bool MayHaveRun = false;
 
-  /** The connection of the attempt broke; its end is asked for. */
-  bool Resolving = false;
-
   bool Done = false;
   TimePoint NextDeadline;
 };
--- a/src/plugins/routing/timemean.h
+++ b/src/plugins/routing/timemean.h
@@ -4,11 +4,13 @@
 #include "kernel/clock.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 
 namespace bluebellbarrow {
 
 /**
- * A mean of times in which newer ones count more.
+ * A mean of times, and how far they lie from it; newer ones count more.
  *
  * Thread safety: none.
  */
@@ -19,7 +21,9 @@
     this->Count += 1;
     const double Weight = std::max(NewestWeight, 1.0 / this->Count);
     const std::chrono::duration<double> Seconds = Time;
-    this->Mean += Weight * (Seconds.count() - this->Mean);
+    const double Off = Seconds.count() - this->Mean;
+    this->Mean += Weight * Off;
+    this->Variance = (1 - Weight) * (this->Variance + Weight * Off * Off);
   }
 
   /** Returns true once a time was taken in. */
@@ -31,7 +35,21 @@
         std::chrono::duration<double>(this->Mean));
   }
 
+  /** Returns a time that few exceed; nothing while too few are known. */
+  std::optional<Duration> longest() const {
+    if (this->Count < LeastCount)
+      return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        this->Mean + Deviations * std::sqrt(this->Variance)));
+  }
+
 private:
+  /** Standard deviations above the mean that count as unusual. */
+  static constexpr double Deviations = 3;
+
+  /** Times from which on the deviation is trusted. */
+  static constexpr double LeastCount = 20;
+
   /** Least weight of the newest time. */
   static constexpr double NewestWeight = 0.05;
 
@@ -39,6 +57,9 @@
 
   /** In seconds. */
   double Mean = 0;
+
+  /** In seconds squared. */
+  double Variance = 0;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/routing/workestimate.h
+++ b/src/plugins/routing/workestimate.h
@@ -28,6 +28,12 @@
                                        : Found->second.mean();
   }
 
+  /** Returns a time that few requests of \a Route exceed, if it is known. */
+  std::optional<Duration> longest(const RouteName &Route) const {
+    const auto Found = this->Routes.find(Route);
+    return Found == this->Routes.end() ? std::nullopt : Found->second.longest();
+  }
+
 private:
   std::unordered_map<RouteName, TimeMean> Routes;
   TimeMean All;
