A stop in phases: serve until callers have left, drain, end before the kill

The target serves peers until the leave time; requests after it are refused as not run; 0.4 s before the kill what is open is ended with what may be said of it.

--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -5,6 +5,7 @@
 #include "plugins/metrics/metrics.h"
 #include "plugins/nodeplugin.h"
 #include "plugins/peer/peerserver.h"
+#include "stopplan.h"
 #include "targetprobe.h"
 #include "upstreamcalls.h"
 
@@ -13,7 +14,7 @@
 namespace {
 
 /** Time between two looks at deadlines while requests are open. */
-constexpr Duration BusyTickPeriod = milliseconds(5);
+constexpr Duration BusyTickPeriod = milliseconds(10);
 
 constexpr Duration IdleTickPeriod = milliseconds(100);
 constexpr Duration PauseLimit = milliseconds(500);
@@ -21,9 +22,6 @@
 /** Time after a pause in which cancellations are read before work starts. */
 constexpr Duration WakeHold = milliseconds(50);
 
-/** Time without requests after which the listening sockets may close. */
-constexpr Duration QuietTime = milliseconds(300);
-
 constexpr unsigned MaxSockets = 4096;
 
 /** The task that carries calls: callers, peers and the target. */
@@ -144,7 +142,9 @@
 
   void updateState() {
     MemberState State = this->TargetState;
-    if (this->Stopping || this->ListedLeaving)
+    const StopPhase Phase = this->Stop.phase(Task::now());
+    if (Phase == StopPhase::Draining || Phase == StopPhase::Over ||
+        this->ListedLeaving)
       State = MemberState::Draining;
     else if (this->Current == nullptr)
       State = MemberState::Starting;
@@ -155,14 +155,14 @@
   }
 
   void onStop() {
-    if (this->Stopping)
-      return;
-    const TimePoint Now = Task::now();
-    this->Stopping = true;
-    this->StopBegan = Now;
+    const NodeSettings &Settings = this->Context.Settings;
+    this->Stop.begin(
+        {.LeaveTime = Settings.LeaveTime, .Limit = Settings.StopLimit},
+        Task::now());
     this->Origin.setLeaving();
-    this->updateState();
-    logRecord(LogLevel::Info, {.Step = "stop"}, "draining");
+    logEvent(LogLevel::Info, "stop begins",
+             {{"open_calls", this->Origin.open()},
+              {"open_runs", this->Target.open()}});
   }
 
   void onTick() {
@@ -173,11 +173,11 @@
     }
     this->Target.poll(Now);
     this->Origin.poll(Now);
-    if (this->Stopping && !this->Stopped)
-      this->pollStop(Now);
+    this->pollStop(Now);
     const bool Idle = this->Origin.open() + this->Target.open() == 0;
-    const Duration Period =
-        Idle && !this->Stopping ? IdleTickPeriod : BusyTickPeriod;
+    const Duration Period = Idle && this->Stop.phase(Now) == StopPhase::Running
+                                ? IdleTickPeriod
+                                : BusyTickPeriod;
     this->NextTick = Now + Period;
     this->Tick.start(Period);
   }
@@ -192,13 +192,17 @@
   }
 
   void pollStop(TimePoint Now) {
-    const NodeSettings &Settings = this->Context.Settings;
+    const StopPhase Phase = this->Stop.phase(Now);
+    if (Phase == StopPhase::Running || this->Stopped)
+      return;
+    if (Phase != StopPhase::Leaving)
+      this->Origin.setDraining();
+    this->updateState();
     const size_t Open = this->Origin.open() + this->Target.open();
-    const bool LimitOver = Now - this->StopBegan >= Settings.StopLimit;
-    const bool LeaveOver = Now - this->StopBegan >= Settings.LeaveTime;
-    const bool Quiet = Now - this->Origin.lastRequest() >= QuietTime;
-    if (!LimitOver && (Open > 0 || !LeaveOver || !Quiet))
+    if (!this->Stop.finished(Open, this->Origin.lastRequest(), Now))
       return;
+    if (Open > 0)
+      this->Origin.endAll("the node stops");
     this->Stopped = true;
     this->Context.Bus.Stopped.publish({.CutRequests = Open});
   }
@@ -221,9 +225,8 @@
   /** The platform is about to take this VM away. */
   bool ListedLeaving = false;
 
-  bool Stopping = false;
+  StopPlan Stop;
   bool Stopped = false;
-  TimePoint StopBegan;
 };
 
 const NodePluginRegistry::Registration<DataPlugin> Registered("data");
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -187,6 +187,10 @@
     this->refuse(Caller, Request, StatusNotRun, "no version is in force yet");
     return;
   }
+  if (this->Draining) {
+    this->refuse(Caller, Request, StatusNotRun, "the node stops");
+    return;
+  }
   const RouteEntry *Route = this->Current->findRoute(
       hostOf(Request), Request.Method, pathOf(Request.Target));
   if (Route == nullptr || Route->Shares.empty()) {
@@ -425,6 +429,17 @@
   this->carryOut(Id, this->Calls.at(Id).Decisions->onAborted(Task::now()));
 }
 
+void OriginCalls::endAll(const std::string &Reason) {
+  std::vector<CallId> Open;
+  for (const auto &[Id, Each] : this->Calls)
+    Open.push_back(Id);
+  for (const CallId Id : Open) {
+    const auto Found = this->Calls.find(Id);
+    if (Found != this->Calls.end())
+      this->carryOut(Id, Found->second.Decisions->onStopped(Reason));
+  }
+}
+
 void OriginCalls::poll(TimePoint Now) {
   std::vector<CallId> Due;
   for (const auto &[Id, Each] : this->Calls)
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -47,6 +47,12 @@
   /** Asks callers to close their connection after each answer. */
   void setLeaving() { this->Callers.setLeaving(true); }
 
+  /** Refuses each call that comes from now on. */
+  void setDraining() { this->Draining = true; }
+
+  /** Ends each open call with what may be said of it. */
+  void endAll(const std::string &Reason);
+
   /** Time has passed; to be called every few milliseconds. */
   void poll(TimePoint Now);
 
@@ -135,6 +141,7 @@
   CallId LastCall = 0;
   TimePoint LastRequest;
   TimePoint NextMetrics;
+  bool Draining = false;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/routing/exchange.cpp
+++ b/src/plugins/routing/exchange.cpp
@@ -254,6 +254,13 @@
   return {};
 }
 
+ExchangeActions Exchange::onStopped(const std::string &Reason) {
+  if (this->Done)
+    return {};
+  const bool Quiet = this->Active.empty() && !this->MayHaveRun;
+  return this->fail(Quiet ? Outcome::NotRun : Outcome::Unknown, Reason, false);
+}
+
 ExchangeActions Exchange::onAborted(TimePoint Now) {
   if (this->Done)
     return {};
--- a/src/plugins/routing/exchange.h
+++ b/src/plugins/routing/exchange.h
@@ -124,6 +124,9 @@
   /** The caller has gone. */
   ExchangeActions onAborted(TimePoint Now);
 
+  /** This node ends; its attempts go on without it. */
+  ExchangeActions onStopped(const std::string &Reason);
+
   /** Returns when onTime() is due. */
   TimePoint nextDeadline() const { return this->NextDeadline; }
 
