--- a/src/kernel/httpclient.cpp
+++ b/src/kernel/httpclient.cpp
@@ -137,7 +137,7 @@
 void HttpClient::connect(size_t Index) {
   Slot &Target = *this->Slots[Index];
   this->Opened += 1;
-  Target.Parser.next();
+  Target.Parser.reset();
   Target.Connection = std::make_unique<TcpConnection>(
       this->Owner,
       TcpConnectOptions{.LocalIp = this->Options.LocalIp,
--- a/src/kernel/httpparser.cpp
+++ b/src/kernel/httpparser.cpp
@@ -208,6 +208,12 @@
   this->parse();
 }
 
+void HttpParser::reset() {
+  this->Buffer.clear();
+  this->Fault = HttpFault::None;
+  this->next();
+}
+
 bool HttpParser::findHead() {
   // An empty line before a request is no request (RFC 7230, 3.5).
   while (this->What == Kind::Request && this->Buffer.rfind("\r\n", 0) == 0)
--- a/src/kernel/httpparser.h
+++ b/src/kernel/httpparser.h
@@ -85,6 +85,9 @@
   /** Goes on to the next message. \pre whole(). */
   void next();
 
+  /** Forgets everything, for the bytes of another connection. */
+  void reset();
+
   /** Returns the current request. \pre headRead(), of Kind::Request. */
   HttpRequest &request() { return this->Request; }
 
--- a/src/plugins/spread/readschedule.cpp
+++ b/src/plugins/spread/readschedule.cpp
@@ -6,11 +6,39 @@
 
 namespace {
 
-constexpr Duration MaxRankDelay = seconds(30);
+constexpr size_t UnknownPlace = 0xffff;
+constexpr uint32_t UnknownAge = 0xffffffff;
+
 constexpr Duration FirstBackoff = milliseconds(200);
+
+/** Longest time between two failed reads of a node that always reads. */
+constexpr Duration MaxReaderBackoff = seconds(1);
+
+/** Longest time between two failed reads of another node. */
 constexpr Duration MaxBackoff = seconds(5);
+
 constexpr int MaxDoublings = 5;
-constexpr uint32_t UnknownAge = 0xffffffff;
+
+/** Share of the base age at which peers are asked. */
+constexpr double AskShare = 0.8;
+
+/** Time between two questions to peers. */
+constexpr Duration AskInterval = milliseconds(150);
+
+/** Time for which a node that was heard counts as present. */
+constexpr Duration PresenceTime = seconds(1);
+
+/** Better-placed nodes that are waited for at most. */
+constexpr int64_t MaxWaitedFor = 8;
+
+/** Age difference from which on a read is news. */
+constexpr Duration NewsStep = milliseconds(100);
+
+constexpr size_t MaxHeard = 64;
+
+Duration scaled(Duration Time, double Factor) {
+  return std::chrono::duration_cast<Duration>(Time * Factor);
+}
 
 uint32_t ageInMilliseconds(TimePoint Then, TimePoint Now) {
   const int64_t Age = std::max<int64_t>(0, toMilliseconds(Now - Then));
@@ -21,135 +49,143 @@
 
 ReadSchedule::ReadSchedule(ReadScheduleOptions Options, uint64_t Seed,
                            TimePoint Now)
-    : Options(Options), Random(Seed) {
-  this->Own.Try = Now;
-  this->Heard.Try = Now;
-  this->NotBefore = Now;
+    : Options(Options), Random(Seed), Place(UnknownPlace), OwnTry(Now),
+      Started(Now), LastAsk(Now), NotBefore(Now) {
   this->drawJitter();
 }
 
-void ReadSchedule::setRank(size_t NewRank, size_t NewFleetSize) {
-  this->Rank = std::min<size_t>(NewRank, 0xfffe);
+void ReadSchedule::setPlace(size_t NewPlace, size_t NewFleetSize) {
+  this->Place = std::min(NewPlace, UnknownPlace);
   this->FleetSize = std::max<size_t>(NewFleetSize, 1);
 }
 
-void ReadSchedule::onHeard(const ReadNews &News, TimePoint Now) {
-  if (News.Rank == this->Rank)
-    return;
-  if (News.TryAge != UnknownAge)
-    this->Heard.Try =
-        std::max(this->Heard.Try, Now - milliseconds(News.TryAge));
+void ReadSchedule::restart(TimePoint Now) { this->Started = Now; }
+
+bool ReadSchedule::isReader() const {
+  return this->Place < static_cast<size_t>(this->Options.Readers);
+}
+
+bool ReadSchedule::onHeard(const ReadNews &News, TimePoint Now) {
+  if (News.SenderPlace != this->Place) {
+    this->Heard[News.SenderPlace] = Now;
+    if (this->Heard.size() > MaxHeard)
+      this->Heard.erase(std::prev(this->Heard.end()));
+  }
+  if (News.ReaderAge != UnknownAge)
+    this->takeReader(
+        {.Place = News.ReaderPlace, .Good = Now - milliseconds(News.ReaderAge)},
+        Now);
   if (News.GoodAge == UnknownAge)
-    return;
+    return false;
+  const TimePoint When = Now - milliseconds(News.GoodAge);
+  const bool IsNews = !this->Good || When > *this->Good + NewsStep;
+  this->Good = std::max(When, this->Good.value_or(When));
+  return IsNews;
+}
 
-  const TimePoint Good = Now - milliseconds(News.GoodAge);
-  const bool HeardIsOld =
-      !this->Heard.HasGood || Now - this->Heard.Good > this->freshness();
-  const bool NewIsFresh = Now - Good <= this->freshness();
-  const bool Preferred = News.Rank <= this->Heard.Rank && NewIsFresh;
-  if (!Preferred && !(HeardIsOld && Good > this->Heard.Good))
+void ReadSchedule::takeReader(const Reader &Heard, TimePoint Now) {
+  if (Now - Heard.Good > this->Options.Base)
     return;
-  this->Heard.Good =
-      News.Rank == this->Heard.Rank ? std::max(this->Heard.Good, Good) : Good;
-  this->Heard.Rank = News.Rank;
-  this->Heard.HasGood = true;
+  const bool KnownIsOld =
+      !this->Best || Now - this->Best->Good > this->Options.Base;
+  if (KnownIsOld || Heard.Place < this->Best->Place)
+    this->Best = Heard;
+  else if (Heard.Place == this->Best->Place)
+    this->Best->Good = std::max(this->Best->Good, Heard.Good);
 }
 
 void ReadSchedule::onGoodRead(TimePoint Now) {
-  this->Own.Good = Now;
-  this->Own.Try = Now;
-  this->Own.HasGood = true;
+  this->OwnTry = Now;
+  this->Good = Now;
+  this->takeReader({.Place = this->Place, .Good = Now}, Now);
   this->Failures = 0;
   this->NotBefore = Now;
 }
 
 void ReadSchedule::onFailedRead(TimePoint Now) {
-  this->Own.Try = Now;
+  this->OwnTry = Now;
   const int Doublings = std::min(this->Failures, MaxDoublings);
   this->Failures += 1;
+  this->Reading = false;
   this->drawJitter();
+  const Duration Longest = this->isReader() ? MaxReaderBackoff : MaxBackoff;
   const Duration Backoff =
-      std::min<Duration>(FirstBackoff * (1 << Doublings), MaxBackoff);
-  this->NotBefore = Now + Backoff + this->Jitter;
+      std::min<Duration>(FirstBackoff * (1 << Doublings), Longest);
+  this->NotBefore = Now + scaled(Backoff, (1 + this->Jitter) / 2);
 }
 
-Duration ReadSchedule::freshness() const {
-  const auto Told = static_cast<size_t>(this->Options.Readers) + Successors;
-  return this->Rank < Told ? this->Options.Base
-                           : this->Options.Base + this->Options.NewsDelay;
+bool ReadSchedule::standsAside(TimePoint Now) const {
+  return this->Best && this->Best->Place < this->Place &&
+         Now - this->Best->Good <= this->Options.Base;
 }
 
-Duration ReadSchedule::limit() const {
+int64_t ReadSchedule::betterPlacedHeard(TimePoint Now) const {
   const auto Readers = static_cast<size_t>(this->Options.Readers);
-  const size_t Waiting = this->Rank < Readers ? 0 : this->Rank - Readers;
-  const Duration ByRank = std::min<Duration>(
-      this->Options.Step * static_cast<int64_t>(Waiting), MaxRankDelay);
-  return this->freshness() + ByRank + this->Jitter;
+  return std::count_if(
+      this->Heard.begin(), this->Heard.end(), [&](const auto &Each) {
+        // Those that always read have failed when the last read is old.
+        return Each.first >= Readers && Each.first < this->Place &&
+               Now - Each.second <= PresenceTime;
+      });
 }
 
-bool ReadSchedule::standsAside(TimePoint Now) const {
-  return this->Heard.HasGood && this->Heard.Rank < this->Rank &&
-         Now - this->Heard.Good <= this->freshness();
+Duration ReadSchedule::fleetShare() const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(static_cast<double>(this->FleetSize) /
+                                    this->Options.FleetRequestsPerSecond));
+}
+
+Duration ReadSchedule::limit(TimePoint Now) const {
+  const int64_t Better = std::min(this->betterPlacedHeard(Now), MaxWaitedFor);
+  const Duration Turn = this->Options.Base + this->Options.Step * Better;
+  const Duration Spread = scaled(this->fleetShare(), this->Jitter);
+  return this->Failures > 0 ? Turn + this->fleetShare() + Spread
+                            : Turn + Spread;
 }
 
-bool ReadSchedule::shouldRead(TimePoint Now) const {
+bool ReadSchedule::shouldRead(TimePoint Now) {
   if (Now < this->NotBefore)
     return false;
-  if (this->Rank < static_cast<size_t>(this->Options.Readers))
+  if (this->isReader())
     return true;
-  if (this->standsAside(Now))
+  if (this->standsAside(Now)) {
+    this->Reading = false;
     return false;
+  }
+  TimePoint Last = std::max(this->Started, this->Good.value_or(this->Started));
+  if (this->Failures > 0)
+    Last = std::max(Last, this->OwnTry);
+  this->Reading = this->Reading || Now - Last > this->limit(Now);
+  return this->Reading;
+}
 
-  const bool AlreadyReads = this->Own.HasGood && this->Failures == 0 &&
-                            Now - this->Own.Good <= this->Options.Base;
-  if (AlreadyReads)
-    return true;
-  const TimePoint LastGood =
-      this->Heard.HasGood ? this->Heard.Good : TimePoint::min();
-  const TimePoint Last = std::max({LastGood, this->Heard.Try, this->Own.Try});
-  const auto Share = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(static_cast<double>(this->FleetSize) /
-                                    this->Options.FleetRequestsPerSecond));
-  const Duration Wait =
-      this->Failures > 0 ? std::max(this->limit(), Share) : this->limit();
-  return Now - Last > Wait;
+bool ReadSchedule::shouldAsk(TimePoint Now) const {
+  const TimePoint Last =
+      std::max(this->Started, this->Good.value_or(this->Started));
+  return !this->isReader() && Now - this->LastAsk >= AskInterval &&
+         Now - Last > scaled(this->Options.Base, AskShare);
 }
 
 ReadNews ReadSchedule::news(TimePoint Now) const {
-  ReadNews News;
-  News.TryAge =
-      ageInMilliseconds(std::max(this->Own.Try, this->Heard.Try), Now);
-  const bool OwnIsFresh =
-      this->Own.HasGood && Now - this->Own.Good <= this->Options.Base;
-  const bool UseOwn =
-      this->Own.HasGood &&
-      (!this->Heard.HasGood || (OwnIsFresh && this->Rank < this->Heard.Rank) ||
-       this->Own.Good > this->Heard.Good);
-  if (UseOwn) {
-    News.Rank = static_cast<uint16_t>(this->Rank);
-    News.GoodAge = ageInMilliseconds(this->Own.Good, Now);
-  } else if (this->Heard.HasGood) {
-    News.Rank = static_cast<uint16_t>(this->Heard.Rank);
-    News.GoodAge = ageInMilliseconds(this->Heard.Good, Now);
+  ReadNews News{.SenderPlace = static_cast<uint16_t>(this->Place)};
+  if (this->Good)
+    News.GoodAge = ageInMilliseconds(*this->Good, Now);
+  if (this->Best) {
+    News.ReaderPlace = static_cast<uint16_t>(this->Best->Place);
+    News.ReaderAge = ageInMilliseconds(this->Best->Good, Now);
   }
   return News;
 }
 
 std::optional<Duration> ReadSchedule::goodAge(TimePoint Now) const {
-  if (!this->Own.HasGood && !this->Heard.HasGood)
+  if (!this->Good)
     return std::nullopt;
-  TimePoint Best = TimePoint::min();
-  if (this->Own.HasGood)
-    Best = this->Own.Good;
-  if (this->Heard.HasGood)
-    Best = std::max(Best, this->Heard.Good);
-  return Now - Best;
+  return Now - *this->Good;
 }
 
 void ReadSchedule::drawJitter() {
-  std::uniform_int_distribution<int64_t> Draw(
-      0, toMicroseconds(this->Options.Step));
-  this->Jitter = microseconds(Draw(this->Random));
+  std::uniform_real_distribution<double> Draw(0, 1);
+  this->Jitter = Draw(this->Random);
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/readschedule.h
+++ b/src/plugins/spread/readschedule.h
@@ -4,6 +4,7 @@
 #include "kernel/clock.h"
 #include "spreadmessages.h"
 
+#include <map>
 #include <optional>
 #include <random>
 
@@ -11,61 +12,63 @@
 
 /** Tuning of a ReadSchedule. */
 struct ReadScheduleOptions {
-  /** Nodes of a failure domain that read all the time. */
+  /** Nodes of the fleet that read all the time. */
   int64_t Readers = 2;
 
-  /** Age of the last read at which the next rank reads. */
+  /** Age of the last good read at which another node reads. */
   Duration Base = milliseconds(1500);
 
-  /** Time by which each further rank waits longer. */
+  /** Time by which a node waits longer for each better-placed one it hears. */
   Duration Step = milliseconds(300);
 
-  /**
-   * Time that news of a read takes to reach a node by random digests. Ranks
-   * that the readers do not tell directly wait so much longer.
-   */
-  Duration NewsDelay = seconds(4);
-
   /** Requests per second that the whole fleet may make at most. */
   double FleetRequestsPerSecond = 100;
 };
 
 /**
- * Decides when this node reads the platform, so that few nodes of a failure
- * domain do, without an election. The nodes have ranks; each hears in digests
- * how long ago the last good and the last failed read were, and a rank reads
- * only when both are older than its own limit.
+ * Decides when this node reads the platform, so that few nodes of the fleet
+ * do, without an election. The nodes have places in one order, in which the
+ * failure domains take turns; the first ones read all the time. Each node
+ * hears how old the last good read is, and reads itself when that is too old
+ * and no better-placed node that it can hear has done so. A node that hears
+ * nobody reads without further delay.
  *
  * Thread safety: none; owned by one task.
  */
 class ReadSchedule {
 public:
-  /** Ranks after the readers that are told of each read directly. */
-  static constexpr size_t Successors = 3;
-
   ReadSchedule(ReadScheduleOptions Options, uint64_t Seed, TimePoint Now);
 
   void setOptions(const ReadScheduleOptions &New) { this->Options = New; }
 
-  /** Tells the node's rank in its domain, from 0, and the fleet's size. */
-  void setRank(size_t Rank, size_t FleetSize);
+  /** Tells the node's place in the order, from 0, and the fleet's size. */
+  void setPlace(size_t Place, size_t FleetSize);
 
-  size_t rank() const { return this->Rank; }
+  size_t place() const { return this->Place; }
 
-  /** Takes in what a digest of the same failure domain says. */
-  void onHeard(const ReadNews &News, TimePoint Now);
+  /**
+   * Takes in what a digest says of reads. Returns true when the last good
+   * read is clearly newer than was known.
+   */
+  bool onHeard(const ReadNews &News, TimePoint Now);
 
-  /** Counts the waits for the reads of others from \a Now on. */
-  void restart(TimePoint Now) { this->Heard.Try = Now; }
+  /** Counts the wait for the reads of others from \a Now on. */
+  void restart(TimePoint Now);
 
-  /** A read ended well, or a watch is known to be open. */
+  /** The platform has answered. */
   void onGoodRead(TimePoint Now);
 
   /** A read failed; the node waits longer after each. */
   void onFailedRead(TimePoint Now);
 
-  /** Returns true when this node should read, or go on reading. */
-  bool shouldRead(TimePoint Now) const;
+  /** Decides whether this node should read, or go on reading. */
+  bool shouldRead(TimePoint Now);
+
+  /** Returns true when it should ask peers how old the last read is. */
+  bool shouldAsk(TimePoint Now) const;
+
+  /** Peers were asked. */
+  void onAsked(TimePoint Now) { this->LastAsk = Now; }
 
   /** Returns what this node's digest says. */
   ReadNews news(TimePoint Now) const;
@@ -74,32 +77,46 @@
   std::optional<Duration> goodAge(TimePoint Now) const;
 
 private:
-  struct Reading {
-    size_t Rank = 0xffff;
-    TimePoint Good;
-    TimePoint Try;
-    bool HasGood = false;
-  };
-
-  Duration freshness() const;
-  Duration limit() const;
   bool standsAside(TimePoint Now) const;
+  bool isReader() const;
+  int64_t betterPlacedHeard(TimePoint Now) const;
+  Duration limit(TimePoint Now) const;
+  Duration fleetShare() const;
   void drawJitter();
 
   ReadScheduleOptions Options;
   std::mt19937_64 Random;
-  size_t Rank = 0xffff;
+  size_t Place;
   size_t FleetSize = 1;
 
-  /** Own reads. */
-  Reading Own;
+  /** The last good read of one node. */
+  struct Reader {
+    size_t Place = 0;
+    TimePoint Good;
+  };
 
-  /** The best reads of others. */
-  Reading Heard;
+  void takeReader(const Reader &Heard, TimePoint Now);
 
-  int Failures = 0;
+  /** The newest good read known. */
+  std::optional<TimePoint> Good;
+
+  /** The best-placed node that is known to read. */
+  std::optional<Reader> Best;
+
+  /** When nodes were heard last, by place. */
+  std::map<size_t, TimePoint> Heard;
+
+  TimePoint OwnTry;
+  TimePoint Started;
+  TimePoint LastAsk;
   TimePoint NotBefore;
-  Duration Jitter{};
+  int Failures = 0;
+
+  /** This node reads until a better-placed one does. */
+  bool Reading = false;
+
+  /** Drawn anew after each failure, from 0 to 1. */
+  double Jitter = 0;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -13,11 +13,11 @@
 constexpr Duration MinReadInterval = milliseconds(50);
 constexpr Duration FirstReadDelay = milliseconds(200);
 constexpr int MaxReadDoublings = 5;
-/** Digests of a node in which news reaches a whole failure domain. */
-constexpr int64_t NewsDigests = 16;
-
 constexpr Duration MaxHold = milliseconds(500);
 
+/** First ranks of a domain that a reader tells of its reads directly. */
+constexpr size_t ToldRanks = 4;
+
 } // namespace
 
 Spread::Spread(SpreadOptions NewOptions, VersionCheck Check,
@@ -64,7 +64,7 @@
   this->pollBoot(Now);
   this->pollReads(Now);
   this->pollDigests(Now);
-  this->pollReadNews(Now);
+  this->pollAsk(Now);
   this->adopt(this->Pushes.takeOverdue(Now), Now);
   if (this->holding(Now))
     return;
@@ -83,7 +83,7 @@
   Read.LastGood = true;
   Read.Failures = 0;
   Read.Revision = std::max(Read.Revision, Revision);
-  this->Schedule.onGoodRead(Now);
+  this->onGoodRead(Now);
   if (Kind == ItemKind::Config)
     this->takeConfigManifest(Text, Now);
   else
@@ -96,7 +96,31 @@
   Read.LastGood = true;
   Read.Failures = 0;
   Read.NotBefore = Now + MinReadInterval;
+  this->onGoodRead(Now);
+}
+
+void Spread::onGoodRead(TimePoint Now) {
+  const std::optional<Duration> Before = this->Schedule.goodAge(Now);
   this->Schedule.onGoodRead(Now);
+  // News of a read are worth a digest only once others begin to wait for them.
+  if (Before && *Before < this->Tuning.ReadBase / 3)
+    return;
+  this->tellChildren(Now);
+  for (const Address &Root : this->roots())
+    this->sendDigest(Root, DigestPurpose::Round, Now);
+  // Those that would read next learn of it even when the tree has a gap.
+  const auto &Members = this->Nodes.domainMembers();
+  for (size_t Rank = 1; Rank < std::min(ToldRanks, Members.size()); ++Rank)
+    if (Rank != this->Nodes.rank())
+      this->sendDigest(Members[Rank].Ip, DigestPurpose::Round, Now);
+}
+
+void Spread::tellChildren(TimePoint Now) {
+  if (this->Tuning.Strategy != "tree")
+    return;
+  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
+  for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
+    this->sendDigest(Child, DigestPurpose::Round, Now);
 }
 
 void Spread::onPlatformFailed(ItemKind Kind, TimePoint Now) {
@@ -204,18 +228,12 @@
     this->Tuning = this->PolicyOf(*Version);
   this->Schedule.setOptions({.Readers = this->Tuning.Readers,
                              .Base = this->Tuning.ReadBase,
-                             .Step = this->Tuning.ReadStep,
-                             .NewsDelay = this->newsDelay()});
+                             .Step = this->Tuning.ReadStep});
   this->audit(AuditKind::Applied, Kind, Version->Id, From, "");
   this->Actions.emplace_back(VersionInForce{Kind});
   this->forward(Kind, How, Address(From), Now);
 }
 
-Duration Spread::newsDelay() const {
-  const int64_t Peers = std::max<int64_t>(1, this->Tuning.DigestPeers);
-  return this->Tuning.DigestPeriod * NewsDigests / Peers;
-}
-
 void Spread::applyVmList() {
   const WholeVersionPtr List = this->store(ItemKind::VmList).current();
   std::vector<Vm> All;
@@ -224,7 +242,7 @@
     All.insert(All.end(), Vms.value().begin(), Vms.value().end());
   }
   this->Nodes = Topology(All, this->Options.Self, this->Options.Domain);
-  this->Schedule.setRank(this->Nodes.rank(), this->Nodes.size());
+  this->Schedule.setPlace(this->Nodes.readPlace(), this->Nodes.size());
   this->Members.retain([this](const VmName &Name) {
     return this->Nodes.findByName(Name) != nullptr;
   });
@@ -239,9 +257,22 @@
   for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
     if (Child != From)
       this->push(Child, Kind, WithContent, Now);
+  if (How == Origin::Push)
+    return;
+  // The first in the order brings the content to the other domains; whoever
+  // else has read only offers it, which costs little where it is known.
+  const bool First = How == Origin::Platform && this->Nodes.readPlace() == 0;
+  for (const Address &Root : this->roots())
+    if (Root != From)
+      this->push(Root, Kind, WithContent && First, Now);
+}
+
+std::vector<Address> Spread::roots() const {
+  std::vector<Address> Roots = this->Nodes.otherRoots();
   const auto &Members = this->Nodes.domainMembers();
-  if (How != Origin::Push && this->Nodes.rank() > 0 && !Members.empty())
-    this->push(Members.front().Ip, Kind, false, Now);
+  if (!Members.empty() && this->Nodes.rank() > 0)
+    Roots.push_back(Members.front().Ip);
+  return Roots;
 }
 
 void Spread::push(const Address &To, ItemKind Kind, bool WithContent,
@@ -286,11 +317,7 @@
   this->audit(AuditKind::StateChanged, ItemKind::VmList, VersionId(), "self",
               memberStateName(State));
   this->forwardAnnouncements({this->Members.own()}, Address());
-  const auto &Members = this->Nodes.domainMembers();
-  std::vector<Address> Roots = this->Nodes.otherRoots();
-  if (!Members.empty() && this->Nodes.rank() > 0)
-    Roots.push_back(Members.front().Ip);
-  for (const Address &Root : Roots)
+  for (const Address &Root : this->roots())
     this->Actions.emplace_back(
         SendControl{Root, AnnouncementsMessage{{this->Members.own()}}});
   this->NextDigest = Now;
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -152,7 +152,12 @@
   void accept(ItemKind Kind, const WholeVersionPtr &Version, Origin How,
               const std::string &From, TimePoint Now);
   void applyVmList();
-  Duration newsDelay() const;
+  void onGoodRead(TimePoint Now);
+  void tellChildren(TimePoint Now);
+
+  /** Returns the first nodes of the domains, without this one. */
+  std::vector<Address> roots() const;
+
   void forward(ItemKind Kind, Origin How, const Address &From, TimePoint Now);
   void push(const Address &To, ItemKind Kind, bool WithContent, TimePoint Now);
   void adopt(const std::vector<OpenPush> &Lost, TimePoint Now);
@@ -167,7 +172,8 @@
   void delayRead(Watch &Read, TimePoint Now);
   void startRead(ItemKind Kind, Duration Wait, TimePoint Now);
   void pollDigests(TimePoint Now);
-  void pollReadNews(TimePoint Now);
+  void pollAsk(TimePoint Now);
+  void countOpenWatches(TimePoint Now);
   void askPeers(size_t Inside, size_t Outside, TimePoint Now);
   void compareVersions(const Address &From, const DigestMessage &Message,
                        TimePoint Now);
@@ -195,7 +201,6 @@
   SpreadActions Actions;
   TimePoint Started;
   TimePoint NextDigest;
-  TimePoint NextReadNews;
   TimePoint NextAsk;
   TimePoint HoldUntil;
   TimePoint TransferWindow;
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -33,19 +33,22 @@
 /** Returns the tag of \a Version. Thread safety: safe. */
 VersionTag tagOf(const VersionId &Version);
 
-/** The newest read of the platform that a node knows of in its domain. */
+/** What a node knows of good reads of the platform. */
 struct ReadNews {
-  /** Rank of the node that read. */
-  uint16_t Rank = 0xffff;
+  /** Place of the sender in the order of readers. */
+  uint16_t SenderPlace = 0xffff;
 
-  /** Milliseconds since the last good read. */
-  uint32_t GoodAge = 0xffffffff;
+  /** Place of the best-placed node that reads. */
+  uint16_t ReaderPlace = 0xffff;
+
+  /** Milliseconds since that node's last good read; the largest for none. */
+  uint32_t ReaderAge = 0xffffffff;
 
-  /** Milliseconds since the last try, good or failed. */
-  uint32_t TryAge = 0xffffffff;
+  /** Milliseconds since the last good read of any node. */
+  uint32_t GoodAge = 0xffffffff;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Rank, this->GoodAge, this->TryAge);
+    Ar(this->SenderPlace, this->ReaderPlace, this->ReaderAge, this->GoodAge);
   }
 };
 
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -19,11 +19,12 @@
 constexpr Duration ReadGrace = seconds(2);
 constexpr Duration TransferWindowLength = milliseconds(250);
 constexpr uint32_t BusyRetryMs = 300;
-/** Time between two digests from a reader to the ranks that would follow. */
-constexpr Duration ReadNewsPeriod = milliseconds(500);
-
 constexpr size_t AskedInside = 6;
 constexpr size_t AskedOutside = 6;
+
+/** Peers of the own domain, and of others, that are asked about reads. */
+constexpr size_t AskedForReads = 3;
+
 constexpr size_t MaxNewsInDigest = 4;
 
 } // namespace
@@ -129,8 +130,8 @@
   this->mergeAnnouncement(Message.Sender, From);
   for (const MemberAnnouncement &Announced : Message.News)
     this->mergeAnnouncement(Announced, From);
-  if (Message.Domain == this->Options.Domain)
-    this->Schedule.onHeard(Message.Read, Now);
+  if (this->Schedule.onHeard(Message.Read, Now))
+    this->tellChildren(Now);
   this->compareVersions(From, Message, Now);
 }
 
@@ -208,14 +209,7 @@
 }
 
 void Spread::pollReads(TimePoint Now) {
-  bool Open = false;
-  for (const ItemKind Kind : Kinds) {
-    const Watch &Read = this->stream(Kind).Read;
-    Open = Open || (Read.InFlight && Read.LastGood &&
-                    Now - Read.Started <= Read.Wait + ReadGrace);
-  }
-  if (Open)
-    this->Schedule.onGoodRead(Now);
+  this->countOpenWatches(Now);
   this->finishFetch(Now);
   const bool Direct = this->Tuning.Strategy == "direct";
   if (!this->Boot.settled() || this->holding(Now))
@@ -226,6 +220,17 @@
     this->startRead(Kind, this->Tuning.WatchWait, Now);
 }
 
+void Spread::countOpenWatches(TimePoint Now) {
+  for (const ItemKind Kind : Kinds) {
+    const Watch &Read = this->stream(Kind).Read;
+    const bool Open = Read.InFlight && Read.LastGood &&
+                      Now - Read.Started <= Read.Wait + ReadGrace;
+    // Short watches end often enough to show by their answers that they live.
+    if (Open && Read.Wait > this->Tuning.ReadBase)
+      this->onGoodRead(Now);
+  }
+}
+
 void Spread::startRead(ItemKind Kind, Duration Wait, TimePoint Now) {
   Watch &Read = this->stream(Kind).Read;
   if (Read.InFlight || Now < Read.NotBefore)
@@ -253,18 +258,11 @@
   }
 }
 
-void Spread::pollReadNews(TimePoint Now) {
-  const bool Reads = this->Tuning.Strategy != "direct" &&
-                     this->Schedule.news(Now).Rank == this->Schedule.rank();
-  if (!Reads || Now < this->NextReadNews)
+void Spread::pollAsk(TimePoint Now) {
+  if (!this->Boot.settled() || !this->Schedule.shouldAsk(Now))
     return;
-  this->NextReadNews = Now + ReadNewsPeriod;
-  const size_t Told =
-      static_cast<size_t>(this->Tuning.Readers) + ReadSchedule::Successors;
-  const auto &Members = this->Nodes.domainMembers();
-  for (size_t Rank = 0; Rank < std::min(Told, Members.size()); ++Rank)
-    if (Rank != this->Nodes.rank())
-      this->sendDigest(Members[Rank].Ip, DigestPurpose::Round, Now);
+  this->Schedule.onAsked(Now);
+  this->askPeers(AskedForReads, AskedForReads, Now);
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/topology.cpp
+++ b/src/plugins/spread/topology.cpp
@@ -3,6 +3,9 @@
 #include "kernel/hashing.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
+#include <utility>
 
 namespace bluebellbarrow {
 
@@ -17,6 +20,21 @@
   });
 }
 
+/** Orders the domains in the same way on every node. */
+bool comesBefore(const FailureDomain &A, const FailureDomain &B) {
+  return std::pair(stableHash(A.str()), A) < std::pair(stableHash(B.str()), B);
+}
+
+/** Returns the list with one entry for each VM. */
+std::vector<Vm> withoutRepeats(const std::vector<Vm> &Vms) {
+  std::vector<Vm> Once;
+  std::set<VmName> Seen;
+  for (const Vm &Each : Vms)
+    if (Seen.insert(Each.Name).second)
+      Once.push_back(Each);
+  return Once;
+}
+
 const Vm *draw(const std::vector<Vm> &From, std::mt19937_64 &Random) {
   if (From.empty())
     return nullptr;
@@ -28,10 +46,10 @@
 
 Topology::Topology(const std::vector<Vm> &Vms, const VmName &Self,
                    const FailureDomain &Domain)
-    : All(Vms), Self(Self) {
+    : All(withoutRepeats(Vms)), Self(Self) {
   std::map<FailureDomain, std::vector<Vm>> Others;
-  for (size_t Index = 0; Index < Vms.size(); ++Index) {
-    const Vm &Each = Vms[Index];
+  for (size_t Index = 0; Index < this->All.size(); ++Index) {
+    const Vm &Each = this->All[Index];
     this->ByAddress.emplace(Each.Ip, Index);
     this->ByName.emplace(Each.Name, Index);
     if (Each.Domain == Domain) {
@@ -48,12 +66,20 @@
     if (this->Own[Rank].Name == Self)
       this->OwnRank = Rank;
   }
+  this->Domains = Others.size() + 1;
   for (auto &[Name, Members] : Others) {
     sortByRank(Members);
     this->OtherRoots.push_back(Members.front().Ip);
+    this->DomainIndex += comesBefore(Name, Domain) ? 1 : 0;
   }
 }
 
+size_t Topology::readPlace() const {
+  if (!this->listed())
+    return std::numeric_limits<size_t>::max();
+  return this->OwnRank * this->Domains + this->DomainIndex;
+}
+
 std::vector<Address> Topology::children(size_t Rank, size_t FanOut) const {
   std::vector<Address> Children;
   for (size_t Index = 1; Index <= FanOut; ++Index) {
--- a/src/plugins/spread/topology.h
+++ b/src/plugins/spread/topology.h
@@ -11,7 +11,8 @@
 
 /**
  * The nodes of the VM list as the spread sees them: in each failure domain a
- * fixed order, which gives ranks and a tree without any message.
+ * fixed order, which gives ranks and a tree without any message. A VM counts
+ * once, however many targets are listed on it.
  *
  * Method: rendezvous hashing of the domain's name and the VM's name.
  * Thread safety: immutable but for the caller's random source.
@@ -29,6 +30,15 @@
   /** Returns this node's rank in its domain; the domain's size if unlisted. */
   size_t rank() const { return this->OwnRank; }
 
+  /** Returns true when this node is in the list. */
+  bool listed() const { return this->OwnRank < this->Own.size(); }
+
+  /**
+   * Returns this node's place among those that may read the platform: by
+   * rank, and for one rank by domain. The largest size if unlisted.
+   */
+  size_t readPlace() const;
+
   /** Returns the nodes of this node's domain by rank. */
   const std::vector<Vm> &domainMembers() const { return this->Own; }
 
@@ -63,6 +73,11 @@
   std::map<Address, size_t> OwnRanks;
   std::map<VmName, size_t> ByName;
   size_t OwnRank = 0;
+
+  /** Number of domains, and this one's index in their order. */
+  size_t Domains = 0;
+  size_t DomainIndex = 0;
+
   VmName Self;
 };
 
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -77,7 +77,7 @@
      &CallerLimits::IdleTime},
 }};
 
-const std::array<FieldSpec<SpreadPolicy>, 12> SpreadTable = {{
+const std::array<FieldSpec<SpreadPolicy>, 11> SpreadTable = {{
     {{"spread", "digest-period", KeyType::Span, 50 * Millisecond, Minute,
       "500 ms", "time between two rounds of digests"},
      &SpreadPolicy::DigestPeriod},
@@ -100,11 +100,8 @@
       "nodes to which a node pushes"},
      &SpreadPolicy::FanOut},
     {{"spread", "readers", KeyType::Count, 1, 16, "2",
-      "nodes of a failure domain that watch the platform"},
+      "nodes of the fleet that watch the platform"},
      &SpreadPolicy::Readers},
-    {{"spread", "reading-domains", KeyType::Count, 0, 64, "0",
-      "failure domains whose nodes watch the platform; 0 for all of them"},
-     &SpreadPolicy::ReadingDomains},
     {{"spread", "max-transfers", KeyType::Count, 1, 64, "4",
       "whole transfers that a node serves at once"},
      &SpreadPolicy::MaxTransfers},
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -61,9 +61,6 @@
   int64_t FanOut = 0;
   int64_t Readers = 0;
 
-  /** Failure domains whose nodes read; 0 for all of them. */
-  int64_t ReadingDomains = 0;
-
   int64_t MaxTransfers = 0;
   bool PushContent = false;
   std::string Strategy;
--- /dev/null
+++ b/tests/process/platformpath_test.py
@@ -0,0 +1,277 @@
+"""The path from the platform's store to the nodes, on real processes."""
+
+import sys
+
+import harness
+from meshfleet import *  # pylint: disable=wildcard-import
+
+# A version, or a target that drains, is in force everywhere within this time.
+APPLY_LIMIT = 2.0
+
+ZONES = [("north", "shop"), ("south", "shop"), ("east", "shop"),
+         ("north", "stock"), ("south", "stock")]
+
+
+def mesh(net, vms=None, **first):
+    fleet = MeshFleet(net, vms or ZONES)
+    fleet.start(config(1, [route("r-shop", "/shop/", "shop", **first)]))
+    assert fleet.wait_listed(len(fleet.vms)) is not None
+    return fleet
+
+
+def get(vm, target="/shop/x", **more):
+    return exchange(vm.outbound, request_bytes(
+        "GET", target, [("Connection", "close")], **more))
+
+
+def in_force(fleet, version, status, target="/shop/x", among=None):
+    """Waits until every node answers as the version says; the seconds."""
+    vms = among or fleet.vms
+    return wait_until(lambda: all(
+        fleet.status(vm).get("version") == version and
+        status_of(get(vm, target)) == status for vm in vms), 10, 0.05)
+
+
+def test_a_version_is_in_force_everywhere_in_time():
+    with mesh(50) as fleet:
+        assert status_of(get(fleet.vms[0], "/new/x")) == 404
+        fleet.publish_config(config(4, [
+            route("r-shop", "/shop/", "shop"),
+            route("r-new", "/new/", "stock")]))
+        took = in_force(fleet, 4, 200, "/new/x")
+        assert took is not None and took < APPLY_LIMIT, took
+        assert b"i-4." in get(fleet.vms[0], "/new/x") or \
+            b"i-5." in get(fleet.vms[0], "/new/x")
+        fleet.publish_config(config(5, [route("r-new", "/new/", "stock")]))
+        took = in_force(fleet, 5, 404)
+        assert took is not None and took < APPLY_LIMIT, took
+        fleet.publish_config(config(3, [route("r-shop", "/shop/", "shop")]))
+        time.sleep(1)
+        assert status_of(get(fleet.vms[0])) == 404, "went back to an old one"
+
+
+def test_a_node_without_a_version_refuses_as_not_run():
+    fleet = MeshFleet(51, [("north", "shop")])
+    with fleet:
+        fleet.start_store()
+        fleet.start_target(fleet.vms[0])
+        fleet.start_node(fleet.vms[0])
+        assert wait_until(lambda: answers(*fleet.vms[0].outbound),
+                          5) is not None
+        answer = get(fleet.vms[0])
+        assert status_of(answer) == 503 and b"Retry-After" in answer
+        assert not fleet.ready(fleet.vms[0])
+        fleet.publish_entry(fleet.vms[0])
+        fleet.publish_config(config(1, [route("r", "/shop/", "shop")]))
+        assert wait_until(lambda: fleet.ready(fleet.vms[0]),
+                          APPLY_LIMIT) is not None
+        assert status_of(get(fleet.vms[0])) == 200
+
+
+def test_longest_prefix_and_host_choose_the_route():
+    with mesh(52) as fleet:
+        fleet.publish_config(config(2, [
+            route("r-a", "/shop/", "shop"),
+            route("r-b", "/shop/deep/", "stock"),
+            route("r-c", "/shop/", "stock", hostname="other.example")]))
+        assert in_force(fleet, 2, 200) is not None
+        vm = fleet.vms[0]
+
+        def service(target, host=HOST):
+            answer = get(vm, target, host=host)
+            for number, each in enumerate(fleet.vms):
+                if f"i-{number + 1}.".encode() in answer:
+                    return each.service
+            return status_of(answer)
+        assert service("/shop/x") == "shop"
+        assert service("/shop/deeper/x") == "shop"
+        assert service("/shop/deep/x") == "stock"
+        assert service("/shop/x", "OTHER.example:80") == "stock"
+        assert service("/shop/x", "third.example") == 404
+        assert service("/shopping/x") == 404
+        assert service("/shop") == 404
+
+
+def test_weights_divide_the_requests():
+    with mesh(53) as fleet:
+        fleet.publish_config(config(2, [route(
+            "r-shop", "/shop/", "", weightedServices=[
+                {"service": "shop", "weight": 80},
+                {"service": "stock", "weight": 20}])]))
+        assert in_force(fleet, 2, 200) is not None
+        before = {vm.number: len(fleet.runs(vm)) for vm in fleet.vms}
+        for number in range(50):
+            assert status_of(get(fleet.vms[0])) == 200
+        stock = sum(len(fleet.runs(vm)) - before[vm.number]
+                    for vm in fleet.vms if vm.service == "stock")
+        assert 9 <= stock <= 11, stock
+
+
+def test_a_draining_target_gets_nothing_new():
+    with mesh(54) as fleet:
+        leaving = fleet.vms[0]
+        fleet.publish_entry(leaving, "draining")
+        time.sleep(APPLY_LIMIT)
+        before = len(fleet.runs(leaving))
+        for vm in fleet.vms * 4:
+            assert status_of(get(vm)) == 200
+        assert len(fleet.runs(leaving)) == before
+        fleet.store("delete", key=f"servers/{fleet.vms[1].instance}")
+        time.sleep(APPLY_LIMIT)
+        before = len(fleet.runs(fleet.vms[1]))
+        for vm in fleet.vms * 4:
+            assert status_of(get(vm)) == 200
+        assert len(fleet.runs(fleet.vms[1])) == before
+
+
+def test_entries_of_other_writers_name_no_target():
+    with mesh(55) as fleet:
+        vm = fleet.vms[0]
+        good = fleet.entry(vm)
+        odd = [b"", b"\xff\x00", b"[]", b"{}", b'"x"',
+               json.dumps({**good, "address": "nowhere"}).encode(),
+               json.dumps({**good, "address": "10.0.0.1"}).encode(),
+               json.dumps({**good, "born": "yesterday"}).encode(),
+               json.dumps({**good, "born": 12.5}).encode(),
+               json.dumps({**good, "status": {"state": "odd"}}).encode(),
+               json.dumps({**good, "information": []}).encode(),
+               json.dumps({**good, "born": 9999999999999, "information": {
+                   "service": "unknown", "version": "v1", "zone": "north",
+                   "slots": 4}}).encode()]
+        for number, value in enumerate(odd):
+            fleet.store("put", value, key=f"servers/odd-{number}")
+        fleet.store("put", b"x" * 100, key="servers")
+        fleet.store("put", b"x" * 100, key="op/other")
+        time.sleep(1)
+        for each in fleet.vms * 2:
+            assert status_of(get(each)) == 200
+        assert all(each.node.poll() is None for each in fleet.vms)
+
+
+def test_calls_go_on_while_the_store_is_away():
+    for net, outage in ((56, "busy"), (57, "reset"), (58, "silent")):
+        with mesh(net) as fleet:
+            fleet.store("knobs", outage=outage)
+            time.sleep(2.5)
+            for vm in fleet.vms * 2:
+                assert status_of(get(vm)) == 200, outage
+            restarted = fleet.vms[2]
+            restarted.node.kill()
+            restarted.node.wait()
+            fleet.start_node(restarted)
+            assert wait_until(lambda: status_of(get(restarted)) == 200,
+                              3) is not None, outage
+            fleet.store("knobs", outage="")
+            fleet.publish_config(config(2, [
+                route("r-shop", "/shop/", "shop"),
+                route("r-new", "/new/", "stock")]))
+            took = in_force(fleet, 2, 200, "/new/x")
+            assert took is not None, outage
+
+
+def test_a_version_reaches_nodes_that_the_store_refuses():
+    with mesh(59) as fleet:
+        refused = [vm.address for vm in fleet.vms[:3]]
+        fleet.store("knobs", refuse=",".join(refused))
+        time.sleep(1)
+        fleet.publish_config(config(2, [route("r-new", "/new/", "stock")]))
+        took = in_force(fleet, 2, 200, "/new/x")
+        assert took is not None and took < APPLY_LIMIT, took
+
+
+def test_a_version_comes_after_the_history_was_dropped():
+    with mesh(60) as fleet:
+        fleet.store("knobs", outage="busy")
+        fleet.publish_config(config(2, [route("r-new", "/new/", "stock")]))
+        fleet.store("compact")
+        time.sleep(1.5)
+        fleet.store("knobs", outage="")
+        took = in_force(fleet, 2, 200, "/new/x")
+        assert took is not None and took < APPLY_LIMIT, took
+
+
+def test_few_nodes_read_and_pages_are_put_together():
+    with mesh(61) as fleet:
+        fleet.store("knobs", page=2)
+        before = fleet.store("knobs")
+        time.sleep(4)
+        after = fleet.store("knobs")
+        reads = sum(after[kind] - before[kind] for kind in ("range", "watch"))
+        # Two readers with a watch of 0.8 s each; room for one takeover.
+        assert reads < 4 / 0.8 * 3, (before, after)
+        fleet.vms[0].node.kill()
+        fleet.vms[0].node.wait()
+        fleet.start_node(fleet.vms[0])
+        assert fleet.wait_in_force(1, 5) is not None
+        assert fleet.wait_listed(5) is not None
+
+
+def test_a_changed_file_of_settings_is_read_with_and_without_a_signal():
+    with mesh(62) as fleet:
+        vm = fleet.vms[0]
+        for signalled, service in ((True, "stock"), (False, "shop")):
+            vm.service = service
+            vm.settings_path.write_text(fleet.settings_text(vm))
+            if signalled:
+                vm.node.send_signal(signal.SIGHUP)
+            fleet.publish_entry(vm)
+
+            def caller():
+                before = {each.number: len(fleet.runs(each))
+                          for each in fleet.vms}
+                get(vm)
+                for each in fleet.vms:
+                    for run in fleet.runs(each)[before[each.number]:]:
+                        return dict(map(tuple, run["headers"])).get(
+                            "Caller-Service")
+                return None
+            assert wait_until(lambda wanted=service: caller() == wanted,
+                              4) is not None, (signalled, service)
+        vm.settings_path.write_text("[node]\nmesh = broken")
+        vm.node.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        assert status_of(get(vm)) == 200 and vm.node.poll() is None
+
+
+def test_a_stop_cuts_nothing_and_ends_in_time():
+    with mesh(63) as fleet:
+        vm = fleet.vms[0]
+        for each in fleet.vms:
+            fleet.knobs(each, work_ms=600)
+        place = vm.outbound
+        with socket.create_connection(place, 3) as kept, \
+                socket.create_connection(place, 3) as busy:
+            kept.settimeout(3)
+            busy.settimeout(3)
+            kept.sendall(request_bytes("GET", "/shop/x", request_id="a"))
+            assert status_of(kept.recv(65536)) == 200
+            busy.sendall(request_bytes("GET", "/shop/x", request_id="b"))
+            time.sleep(0.1)
+            began = time.monotonic()
+            vm.node.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+            assert not fleet.ready(vm)
+            answer = busy.recv(65536)
+            assert status_of(answer) == 200 and b"Connection: close" in answer
+            kept.sendall(request_bytes("GET", "/shop/x", request_id="c"))
+            answer = kept.recv(65536)
+            assert status_of(answer) == 200 and b"Connection: close" in answer
+        assert vm.node.wait(timeout=6) == 0
+        assert time.monotonic() - began < 5.5
+
+
+def test_wrong_target_at_the_address_runs_nothing():
+    with mesh(64, [("north", "shop"), ("south", "stock")]) as fleet:
+        vm = fleet.vms[0]
+        listed = fleet.entry(vm)
+        fleet.store("delete", key=f"servers/{vm.instance}")
+        fleet.store("put", json.dumps({**listed, "born": 5000}).encode(),
+                    key="servers/i-other")
+        time.sleep(1)
+        answer = get(fleet.vms[1])
+        assert status_of(answer) == 503, answer
+        assert fleet.runs(vm) == []
+
+
+if __name__ == "__main__":
+    harness.main(sys.modules[__name__])
--- /dev/null
+++ b/tests/standins/httpio.py
@@ -0,0 +1,74 @@
+"""Small asyncio helpers that read and write HTTP/1.1 byte for byte."""
+
+import asyncio
+import socket
+import struct
+
+
+class Message:
+    """A request or an answer as it stood on the wire."""
+
+    def __init__(self, first, headers, body):
+        self.first = first
+        self.headers = headers
+        self.body = body
+
+    def header(self, name, default=""):
+        for key, value in self.headers:
+            if key.lower() == name.lower():
+                return value
+        return default
+
+
+async def read_head(reader):
+    """Returns (first line, headers); None at the end of the stream."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")[:-2]
+    headers = [tuple(part.strip() for part in line.split(":", 1))
+               for line in lines[1:]]
+    return lines[0], headers
+
+
+async def read_body(reader, headers):
+    """Returns a body with a length or in chunks."""
+    names = {key.lower(): value for key, value in headers}
+    if names.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            if size == 0:
+                while (await reader.readline()).strip():
+                    pass
+                return body
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+    return await reader.readexactly(int(names.get("content-length", 0)))
+
+
+async def read_message(reader):
+    """Returns a whole message, or None at the end of the stream."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    try:
+        body = await read_body(reader, head[1])
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return None
+    return Message(head[0], head[1], body)
+
+
+def reset(writer):
+    """Closes a connection with a reset."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def answer_bytes(status, headers=(), body=b"", reason="X"):
+    lines = [f"HTTP/1.1 {status} {reason}"]
+    lines += [f"{key}: {value}" for key, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/standins/meshtarget.py
@@ -0,0 +1,176 @@
+#!/usr/bin/env python3
+"""Stand-in for a target of the platform: answers byte for byte as told.
+
+    meshtarget.py ADDRESS PORT INSTANCE SLOTS
+
+Runs a request for its work time, signs its answer and repeats the request's
+identity. The test's own door: POST /control/knobs?KEY=VALUE, GET
+/control/runs (every request that arrived, as it arrived).
+
+Knobs: work_ms, mode and count: the mode holds for the next COUNT requests (-1
+for all). Modes: plain, full (503, not run), silent, late (the answer comes
+after the next one was asked for), extra (a second answer follows), unframed
+(no length, ends with the connection), unframed_reset, truncated, reset,
+early (answers before the body was read), wrong_id, no_id, unsigned, garbage,
+close (plain, and closes after it), chunked, error (500), interim (100 first).
+"""
+
+import asyncio
+import json
+import sys
+import urllib.parse
+
+from httpio import answer_bytes, read_body, read_head, reset
+
+
+class Target:
+    def __init__(self, instance, slots):
+        self.instance = instance
+        self.slots = slots
+        self.running = 0
+        self.runs = []
+        self.aborted = 0
+        self.connections = 0
+        self.knobs = {"work_ms": 20, "mode": "plain", "count": -1}
+
+    def take_mode(self):
+        left = int(self.knobs["count"])
+        if left == 0:
+            return "plain"
+        if left > 0:
+            self.knobs["count"] = left - 1
+        return self.knobs["mode"]
+
+    def headers(self, request_id):
+        return [("Attempt-Id", request_id),
+                ("Server-Signature", f"{self.instance}.signed"),
+                ("Server-Load", f"{self.running},0,{self.slots}"),
+                ("Keep-Alive", "timeout=10"), ("X-Odd", "yes")]
+
+    def control(self, path, query):
+        if path == "/control/knobs":
+            self.knobs.update(query)
+        return answer_bytes(200, body=json.dumps(
+            {"runs": self.runs, "aborted": self.aborted,
+             "connections": self.connections}).encode())
+
+    async def work(self, reader):
+        """Runs for the work time; False when the caller left meanwhile."""
+        self.running += 1
+        try:
+            await asyncio.wait_for(reader.read(1),
+                                   int(self.knobs["work_ms"]) / 1000)
+            self.aborted += 1
+            return False
+        except asyncio.TimeoutError:
+            return True
+        except ConnectionError:
+            self.aborted += 1
+            return False
+        finally:
+            self.running -= 1
+
+    def plain(self, request_id, body=b"the target's bytes"):
+        return answer_bytes(200, self.headers(request_id), body)
+
+    async def respond(self, mode, request_id, writer):
+        """Writes the answer; returns False when the connection ends."""
+        good = self.plain(request_id)
+        if mode == "extra":
+            writer.write(good + self.plain("another-id", b"of another one"))
+        elif mode == "unframed" or mode == "unframed_reset":
+            head = good.split(b"\r\n\r\n")[0].split(b"\r\n")
+            head = [line for line in head
+                    if not line.startswith(b"Content-Length")]
+            writer.write(b"\r\n".join(head) + b"\r\n\r\nthe target's bytes")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if mode == "unframed_reset":
+                reset(writer)
+            return False
+        elif mode == "truncated":
+            writer.write(good[:-5])
+            return False
+        elif mode == "reset":
+            reset(writer)
+            return False
+        elif mode == "wrong_id":
+            writer.write(self.plain("another-id"))
+        elif mode == "no_id":
+            writer.write(good.replace(b"Attempt-Id", b"X-No-Id"))
+        elif mode == "unsigned":
+            writer.write(good.replace(b"Server-Signature", b"X-No-Signature"))
+        elif mode == "garbage":
+            writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+        elif mode == "chunked":
+            head = good.split(b"Content-Length")[0]
+            writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n"
+                         b"5\r\nthe t\r\nd;x=y\r\narget's bytes\r\n0\r\n"
+                         b"X-Trailer: t\r\n\r\n")
+        elif mode == "interim":
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + good)
+        elif mode == "error":
+            writer.write(answer_bytes(500, self.headers(request_id), b"no"))
+        else:
+            writer.write(good)
+        return mode != "close"
+
+    async def run(self, head, reader, writer):
+        """Takes one request; returns False when the connection ends."""
+        line, headers = head
+        names = {key.lower(): value for key, value in headers}
+        request_id = names.get("attempt-id", "")
+        expected = names.get("expected-instance", self.instance)
+        mode = self.take_mode()
+        if mode == "early":
+            writer.write(self.plain(request_id))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        body = await read_body(reader, headers)
+        if expected != self.instance:
+            writer.write(answer_bytes(421, [("Attempt-Id", request_id),
+                                            ("Instance-Id", self.instance)]))
+            return True
+        if mode == "full":
+            writer.write(answer_bytes(503, [("Attempt-Id", request_id),
+                                            ("Not-Executed", "1")]))
+            return True
+        self.runs.append({"line": line, "headers": headers,
+                          "body": body.decode("latin-1")})
+        if mode == "early":
+            return True
+        if mode == "silent":
+            await asyncio.sleep(3600)
+        if not await self.work(reader):
+            return False
+        if mode == "late":
+            await asyncio.sleep(0.5)
+        return await self.respond(mode, request_id, writer)
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                parts = urllib.parse.urlsplit(head[0].split(" ")[1])
+                if parts.path.startswith("/control/"):
+                    query = dict(urllib.parse.parse_qsl(parts.query))
+                    writer.write(self.control(parts.path, query))
+                elif not await self.run(head, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+
+async def main():
+    target = Target(sys.argv[3], int(sys.argv[4]))
+    server = await asyncio.start_server(target.serve, sys.argv[1],
+                                        int(sys.argv[2]), limit=2 ** 20)
+    async with server:
+        await server.serve_forever()
+
+
+asyncio.run(main())
--- /dev/null
+++ b/tests/standins/store.py
@@ -0,0 +1,156 @@
+#!/usr/bin/env python3
+"""Stand-in for the platform's store: keys with revisions, ranges and watches.
+
+    store.py ADDRESS PORT
+
+Reads: GET /kv-key, /kv-range, /kv-watch. The test's own door, not counted:
+POST /control/put?key=K (the body is the value), /control/delete?key=K,
+/control/compact, /control/knobs?KEY=VALUE, GET /control/counts.
+
+Knobs: outage (busy, reset, silent or empty), refuse (addresses that are
+refused, with commas), slow_ms (delay of each answer), lose (share of answers
+that are lost, in percent), page (items on a page).
+"""
+
+import asyncio
+import base64
+import json
+import random
+import sys
+import urllib.parse
+
+from httpio import answer_bytes, read_message, reset
+
+
+class Store:
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.first_kept = 0
+        self.revision = 1
+        self.changed = asyncio.Condition()
+        self.knobs = {"outage": "", "refuse": "", "slow_ms": 0, "lose": 0,
+                      "page": 500}
+        self.counts = {"range": 0, "watch": 0, "key": 0, "refused": 0}
+        self.random = random.Random(1)
+
+    async def change(self, key, value):
+        async with self.changed:
+            self.revision += 1
+            if value is None:
+                self.items.pop(key, None)
+                event = {"key": key, "revision": self.revision,
+                         "tombstone": True}
+            else:
+                made = self.items.get(key, {}).get("createdAt", self.revision)
+                event = {"key": key, "value": base64.b64encode(value).decode(),
+                         "revision": self.revision, "createdAt": made,
+                         "lease": 0}
+                self.items[key] = event
+            self.history.append(event)
+            self.changed.notify_all()
+
+    def range(self, query):
+        self.counts["range"] += 1
+        prefix, after = query.get("prefix", ""), query.get("after", "")
+        found = [self.items[key] for key in sorted(self.items)
+                 if key.startswith(prefix) and key > after]
+        page = int(self.knobs["page"])
+        return 200, {"items": found[:page], "hasMore": len(found) > page,
+                     "storeRevision": self.revision}
+
+    async def watch(self, query):
+        self.counts["watch"] += 1
+        prefix, after = query.get("prefix", ""), int(query.get("after", 0))
+        if after < self.first_kept:
+            return 410, {}
+
+        def events():
+            return [event for event in self.history
+                    if event["revision"] > after and
+                    event["key"].startswith(prefix)]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: events() != []),
+                    int(query.get("waitMs", 0)) / 1000)
+            except asyncio.TimeoutError:
+                pass
+            return 200, {"events": events(), "storeRevision": self.revision}
+
+    async def read(self, path, query):
+        if path == "/kv-range":
+            return self.range(query)
+        if path == "/kv-watch":
+            return await self.watch(query)
+        self.counts["key"] += 1
+        item = self.items.get(query.get("key"))
+        return (404, {}) if item is None else (
+            200, {**item, "storeRevision": self.revision})
+
+    async def control(self, path, query, body):
+        if path == "/control/put":
+            await self.change(query["key"], body)
+        elif path == "/control/delete":
+            await self.change(query["key"], None)
+        elif path == "/control/compact":
+            self.first_kept = self.revision
+        elif path == "/control/knobs":
+            self.knobs.update(query)
+        return 200, self.counts
+
+    async def trouble(self, writer, peer):
+        """Returns True when the connection was dealt with by a fault."""
+        outage = self.knobs["outage"]
+        if peer in self.knobs["refuse"].split(","):
+            outage = "busy"
+        if outage:
+            self.counts["refused"] += 1
+        if outage == "busy":
+            writer.write(answer_bytes(503))
+            return True
+        if outage == "reset":
+            reset(writer)
+            return True
+        if outage == "silent":
+            await asyncio.sleep(3600)
+        return False
+
+    async def serve(self, reader, writer):
+        peer = writer.get_extra_info("peername")[0]
+        while True:
+            request = await read_message(reader)
+            if request is None:
+                break
+            target = request.first.split(" ")[1]
+            parts = urllib.parse.urlsplit(target)
+            query = dict(urllib.parse.parse_qsl(parts.query,
+                                                keep_blank_values=True))
+            if parts.path.startswith("/control/"):
+                answer = await self.control(parts.path, query, request.body)
+            elif await self.trouble(writer, peer):
+                continue
+            else:
+                answer = await self.read(parts.path, query)
+                await asyncio.sleep(int(self.knobs["slow_ms"]) / 1000)
+                if self.knobs["outage"]:
+                    reset(writer)
+                    break
+                if self.random.random() * 100 < float(self.knobs["lose"]):
+                    await asyncio.sleep(3600)
+            writer.write(answer_bytes(answer[0],
+                                      [("Content-Type", "application/json")],
+                                      json.dumps(answer[1]).encode()))
+        writer.close()
+
+
+async def main():
+    store = Store()
+    server = await asyncio.start_server(store.serve, sys.argv[1],
+                                        int(sys.argv[2]), limit=2 ** 24)
+    async with server:
+        await server.serve_forever()
+
+
+asyncio.run(main())
--- a/tests/support/rawserver.cpp
+++ b/tests/support/rawserver.cpp
@@ -11,6 +11,13 @@
 
 namespace bluebellbarrow {
 
+namespace {
+
+/** Time for the last bytes to arrive before a reset. */
+constexpr std::chrono::milliseconds ResetDelay(50);
+
+} // namespace
+
 RawServer::RawServer(const std::string &Address, Script OnRequest)
     : OnRequest(std::move(OnRequest)),
       Listener(socket(AF_INET, SOCK_STREAM, 0)) {
@@ -66,6 +73,11 @@
     Received.clear();
     std::this_thread::sleep_for(std::chrono::milliseconds(Next.DelayMs));
     send(Socket, Next.Bytes.data(), Next.Bytes.size(), MSG_NOSIGNAL);
+    if (Next.Reset) {
+      std::this_thread::sleep_for(ResetDelay);
+      const linger Option{.l_onoff = 1, .l_linger = 0};
+      setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Option, sizeof(Option));
+    }
     if (Next.Close)
       break;
   }
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -26,6 +26,9 @@
 
     /** Closes the connection afterwards. */
     bool Close = false;
+
+    /** Closes it with a reset, once the bytes had time to arrive. */
+    bool Reset = false;
   };
 
   using Script = std::function<Answer(int, const std::string &)>;
