Retries of a fleet stay within one budget without asking each other

Each node let 10 retries a second beyond its share, for itself.

Change: retry-burst (policy) is what the whole fleet may make beyond the share in ten seconds; retryShare() divides it by the nodes of the list, half at once and half over the time. Three quarters of the share are used, since a retry may cause calls below that count as retries there.

--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -121,11 +121,8 @@
 }
 
 RetryBudget &OriginCalls::budgetOf(const ServiceEntry &Service, TimePoint Now) {
-  constexpr double IdleRetriesPerSecond = 10;
-  const RetryBudgetOptions Options{.RetriesPerRequest =
-                                       Service.Effective.RetryBudget,
-                                   .MinRetriesPerSecond = IdleRetriesPerSecond,
-                                   .InitialBalance = IdleRetriesPerSecond};
+  const RetryBudgetOptions Options =
+      retryShare(Service.Effective, this->Current->VmCount);
   const auto [Known, New] =
       this->Budgets.try_emplace(Service.Name, Options, Now);
   if (!New)
--- a/src/plugins/routing/retrybudget.cpp
+++ b/src/plugins/routing/retrybudget.cpp
@@ -4,6 +4,26 @@
 
 namespace bluebellbarrow {
 
+namespace {
+
+/** Part of the policy's share that is used: a retry may cause calls below. */
+constexpr double UsedShare = 0.75;
+
+/** Seconds for which the policy's burst is meant. */
+constexpr double BurstSeconds = 10;
+
+} // namespace
+
+RetryBudgetOptions retryShare(const Policy &Rules, size_t Nodes) {
+  const double Burst = static_cast<double>(Rules.RetryBurst) /
+                       static_cast<double>(std::max<size_t>(1, Nodes));
+  // Half may be made at once, the other half in the time of the burst.
+  return {.RetriesPerRequest = Rules.RetryBudget * UsedShare,
+          .MaxBalance = Burst / 2,
+          .MinRetriesPerSecond = Burst / 2 / BurstSeconds,
+          .InitialBalance = Burst / 2};
+}
+
 RetryBudget::RetryBudget(const RetryBudgetOptions &Options, TimePoint Now)
     : Options(Options), Balance(Options.InitialBalance), LastDeposit(Now) {}
 
--- a/src/plugins/routing/retrybudget.h
+++ b/src/plugins/routing/retrybudget.h
@@ -2,6 +2,9 @@
 #define BLUEBELLBARROW_ROUTING_RETRYBUDGET_H
 
 #include "kernel/clock.h"
+#include "tree/policy.h"
+
+#include <cstddef>
 
 namespace bluebellbarrow {
 
@@ -20,6 +23,12 @@
   double InitialBalance = 0;
 };
 
+/**
+ * Returns one node's part of the retries that a fleet of \a Nodes may make, so
+ * that all nodes together stay within the policy without asking each other.
+ */
+RetryBudgetOptions retryShare(const Policy &Rules, size_t Nodes);
+
 /**
  * Limits retries to a share of first attempts, so that a failing service does
  * not receive more load than it did when it was healthy.
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -11,7 +11,7 @@
 constexpr double Minute = 60e6;
 constexpr double Megabyte = 1048576;
 
-const std::array<FieldSpec<Policy>, 16> PolicyTable = {{
+const std::array<FieldSpec<Policy>, 17> PolicyTable = {{
     {{"policy", "deadline", KeyType::Span, Millisecond, 10 * Minute, "2 s",
       "time a call may take when the caller names none"},
      &Policy::Deadline},
@@ -45,6 +45,9 @@
     {{"policy", "retry-budget", KeyType::Ratio, 0, 1, "0.1",
       "retries allowed for each first attempt"},
      &Policy::RetryBudget},
+    {{"policy", "retry-burst", KeyType::Count, 0, 1000000, "1000",
+      "retries of the whole fleet beyond that share, in ten seconds"},
+     &Policy::RetryBurst},
     {{"policy", "max-ejected", KeyType::Ratio, 0, 1, "0.5",
       "share of a service that may be left out for its errors"},
      &Policy::MaxEjected},
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -31,6 +31,10 @@
   int64_t Queue = 0;
   int64_t MaxBody = 0;
   double RetryBudget = 0;
+
+  /** Retries that the fleet may make in a short time beyond the share. */
+  int64_t RetryBurst = 0;
+
   double MaxEjected = 0;
   bool Idempotent = false;
   std::string Balance;
--- a/src/tree/snapshot.cpp
+++ b/src/tree/snapshot.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace bluebellbarrow {
 
@@ -87,8 +88,12 @@
   Target->Limits = Tree.callerLimits(Domain);
 
   std::map<ServiceName, std::vector<Vm>> ByService;
-  for (const Vm &Each : Vms)
+  std::set<VmName> Names;
+  for (const Vm &Each : Vms) {
     ByService[Each.Service].push_back(Each);
+    Names.insert(Each.Name);
+  }
+  Target->VmCount = Names.size();
   for (const ServiceName &Name : Tree.services())
     Target->Services.push_back(
         {.Name = Name,
--- a/src/tree/snapshot.h
+++ b/src/tree/snapshot.h
@@ -61,6 +61,9 @@
   FailureDomain Domain;
   std::vector<ServiceEntry> Services;
 
+  /** VMs in the list, each counted once. */
+  size_t VmCount = 0;
+
   std::vector<RouteEntry> Routes;
 
   /** Index into Routes by host, method and path prefix. */
--- a/tests/kernel/httpclient_test.cpp
+++ b/tests/kernel/httpclient_test.cpp
@@ -166,8 +166,8 @@
     return RawServer::Answer{.Bytes = Bad ? "garbage\r\n\r\n" : whole("good"),
                              .Close = Bad};
   });
-  const auto Results = callInTurn(
-      Server.port(), {"GET", "POST", "GET", "POST"}, seconds(1));
+  const auto Results =
+      callInTurn(Server.port(), {"GET", "POST", "GET", "POST"}, seconds(1));
   for (size_t Index = 0; Index < Results.size(); ++Index)
     cr_expect_eq(Results[Index].End,
                  Index % 2 == 0 ? CallEnd::Broken : CallEnd::Answered,
--- a/tests/standins/meshfleet.py
+++ b/tests/standins/meshfleet.py
@@ -127,7 +127,8 @@
                       "readyAddress": f"{vm.address}:{READY_PORT}"},
                   "internalPortRange": [str(port) for port in INNER_PORTS],
                   "seedNodes": [f"{each.address}:1" for each in self.vms[:3]],
-                  "bounds": {"gracePeriod": "6s", "retryBudgetRatio": 0.2}}
+                  "bounds": {"gracePeriod": "6s", "retryBudgetRatio": 0.2,
+                             "retryBudgetSlack": 58}}
         fields.update(changes)
         return render((ROOT / "deploy/node.ini").read_text(), fields)
 
