--- a/src/plugins/admission/admission.cpp
+++ b/src/plugins/admission/admission.cpp
@@ -34,7 +34,7 @@
     return Duration::max();
   std::vector<Duration> Free;
   for (const Started &Each : this->Running) {
-    const Duration Usual = this->Work.of(Each.Route);
+    const Duration Usual = Each.Work;
     const auto Least =
         std::chrono::duration_cast<Duration>(Usual * LeastRemaining);
     Free.push_back(std::max<Duration>(Usual - (Now - Each.Time), Least));
@@ -93,10 +93,12 @@
     return this->refuse(Key, "target is draining", Duration::zero(), Now);
   if (Now >= Request.Deadline)
     return this->refuse(Key, "deadline is over", Duration::zero(), Now);
-  const Duration Work = this->Work.of(Request.Route);
+  const Duration Work = this->Works.of(Request.Route, Request.RouteAim).Mean;
+  if (Now + Work > this->Closing)
+    return this->refuse(Key, "node stops", Duration::zero(), Now);
   if (this->Line.empty() && this->maySlot(Now)) {
     this->Overtaking.add(Request.Priority, Work, Now);
-    this->start(Key, Request.Route, Now);
+    this->start(Key, Request.Route, Work, Now);
     return {.What = Admitted::Start, .Reason = {}};
   }
   WaitingRequest Waiting{.Key = Key,
@@ -116,8 +118,9 @@
 }
 
 void Admission::start(const RequestKey &Key, const RouteName &Route,
-                      TimePoint Now) {
-  this->Running.push_back({.Key = Key, .Route = Route, .Time = Now});
+                      Duration Expected, TimePoint Now) {
+  this->Running.push_back(
+      {.Key = Key, .Route = Route, .Work = Expected, .Time = Now});
   this->Seen.set(Key, SeenState::Running, Now);
 }
 
@@ -127,7 +130,7 @@
                    [&Key](const Started &Each) { return Each.Key == Key; });
   if (Found == this->Running.end())
     return;
-  this->Work.add(Found->Route, Now - Found->Time);
+  this->Works.add(Found->Route, Now - Found->Time);
   this->Running.erase(Found);
   this->Seen.set(Key, SeenState::Finished, Now);
 }
@@ -141,7 +144,7 @@
 std::vector<RequestKey> Admission::takeOverdue(TimePoint Now) {
   std::vector<RequestKey> Taken;
   for (Started &Each : this->Running) {
-    const std::optional<Duration> Longest = this->Work.longest(Each.Route);
+    const std::optional<Duration> Longest = this->Works.longest(Each.Route);
     if (Each.Overdue || !Longest || Now - Each.Time < *Longest)
       continue;
     Each.Overdue = true;
@@ -163,7 +166,7 @@
   }
   while (!this->Line.empty() && this->maySlot(Now)) {
     const WaitingRequest Next = this->Line.takeFirst(Now);
-    this->start(Next.Key, Next.Route, Now);
+    this->start(Next.Key, Next.Route, Next.Work, Now);
     Left.push_back({.Key = Next.Key, .Start = true, .Reason = {}});
   }
   return Left;
--- a/src/plugins/admission/admission.h
+++ b/src/plugins/admission/admission.h
@@ -33,6 +33,9 @@
   TimePoint Aim;
 
   TimePoint Deadline;
+
+  /** Time within which answers of the route are of full use. */
+  Duration RouteAim{};
 };
 
 /** What becomes of a request on arrival. */
@@ -81,6 +84,9 @@
   /** Takes nothing new, and starts nothing queued, while \a On. */
   void setDraining(bool On) { this->Draining = On; }
 
+  /** Takes nothing that is expected to run beyond \a At. */
+  void setClosing(TimePoint At) { this->Closing = At; }
+
   /** Starts nothing before \a Until; requests queue meanwhile. */
   void holdUntil(TimePoint Until) { this->Hold = Until; }
 
@@ -117,11 +123,13 @@
   struct Started {
     RequestKey Key;
     RouteName Route;
+    Duration Work{};
     TimePoint Time;
     bool Overdue = false;
   };
 
-  void start(const RequestKey &Key, const RouteName &Route, TimePoint Now);
+  void start(const RequestKey &Key, const RouteName &Route, Duration Expected,
+             TimePoint Now);
   bool maySlot(TimePoint Now) const;
   Duration startOf(const WaitingRequest *Request, TimePoint Now) const;
   Duration expectedWait(const WaitingRequest &Request, TimePoint Now) const;
@@ -132,11 +140,12 @@
   AdmissionLimits Limits;
   SeenRequests Seen;
   WaitingLine Line;
-  WorkEstimate Work;
+  WorkEstimate Works;
   AdmittedWork Overtaking;
   std::vector<Started> Running;
   bool Draining = false;
   TimePoint Hold;
+  TimePoint Closing = TimePoint::max();
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -160,6 +160,7 @@
         {.LeaveTime = Settings.LeaveTime, .Limit = Settings.StopLimit},
         Task::now());
     this->Origin.setLeaving();
+    this->Target.setClosing(Task::now() + Settings.LeaveTime);
     logEvent(LogLevel::Info, "stop begins",
              {{"open_calls", this->Origin.open()},
               {"open_runs", this->Target.open()}});
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -242,16 +242,16 @@
   New.Caller = Caller;
   New.Began = Now;
   New.Deadline = Now + milliseconds(std::clamp<int64_t>(Asked, 0, Longest));
-  New.Aim = Rules.Aim > Duration::zero()
-                ? std::min(New.Deadline, Now + Rules.Aim)
-                : New.Deadline;
+  New.Aim = std::min(New.Deadline, Now + aimOf(Rules));
   New.Message = this->toMessage(Request, Route, Service);
   New.Decisions = std::make_unique<Exchange>(
       ExchangeOptions{.Map = this->Current,
                       .Service = &Service,
                       .Rules = &Rules,
                       .Route = Route.Name,
+                      .Aim = New.Aim,
                       .Deadline = New.Deadline,
+                      .Bytes = Request.Body.size(),
                       .IdempotencyKey = std::string(Key)},
       this->Routes, this->budgetOf(Service, Now));
   this->ByCaller[Caller] = Id;
@@ -391,8 +391,11 @@
   if (Reply.Result == Outcome::Answered) {
     Target.Answer = Reply.Answer;
     Target.Upstream = Known.Upstream;
-    this->Routes.onRun(Known.Upstream.id(), Target.Message.Route,
-                       microseconds(Reply.RunMicros));
+    this->Routes.onRun(Known.Upstream.id(),
+                       {.Route = Target.Message.Route,
+                        .Aim = Target.Aim - Target.Began,
+                        .Took = microseconds(Reply.RunMicros),
+                        .Bytes = Reply.Answer.Body.size()});
   }
   this->forgetAttempt(Target, Known.Index);
   this->carryOut(Known.Call,
--- a/src/plugins/http/stopplan.cpp
+++ b/src/plugins/http/stopplan.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Time without requests after which the process may end. */
-constexpr Duration QuietTime = milliseconds(300);
+constexpr Duration QuietTime = milliseconds(100);
 
 /** Time before the process is killed in which it ends what is left. */
 constexpr Duration KillMargin = milliseconds(400);
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -199,12 +199,14 @@
     this->refuse(Key, NotReady);
     return;
   }
-  const AdmitResult Result = this->Gate.admit({.Key = Key,
-                                               .Route = Message.Route,
-                                               .Priority = Message.Priority,
-                                               .Aim = Aim,
-                                               .Deadline = Deadline},
-                                              Now);
+  const AdmitResult Result = this->Gate.admit(
+      {.Key = Key,
+       .Route = Message.Route,
+       .Priority = Message.Priority,
+       .Aim = Aim,
+       .Deadline = Deadline,
+       .RouteAim = microseconds(static_cast<int64_t>(Message.RouteAim))},
+      Now);
   if (Result.Duplicate)
     this->Calls.erase(Key);
   else if (Result.What == Admitted::Start)
--- a/src/plugins/http/upstreamcalls.h
+++ b/src/plugins/http/upstreamcalls.h
@@ -58,6 +58,9 @@
   /** Returns the target that the platform lists on this VM; empty for none. */
   const TargetId &target() const { return this->Listed; }
 
+  /** Takes nothing that is expected to run beyond \a At. */
+  void setClosing(TimePoint At) { this->Gate.setClosing(At); }
+
   /** Starts nothing before \a Until. */
   void holdUntil(TimePoint Until) { this->Gate.holdUntil(Until); }
 
--- a/src/plugins/peer/peermessages.h
+++ b/src/plugins/peer/peermessages.h
@@ -89,6 +89,9 @@
   /** Microseconds in which an answer is of full use. */
   uint64_t AimRemaining = 0;
 
+  /** Microseconds within which answers of the route are of full use. */
+  uint64_t RouteAim = 0;
+
   /** Rank among requests that wait; 0 goes first. */
   uint8_t Priority = 0;
 
@@ -101,8 +104,8 @@
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->Number, this->ForLife, this->Target, this->Service, this->Route,
-       this->Caller, this->Remaining, this->AimRemaining, this->Priority,
-       this->Idempotent, this->Depth, this->Call);
+       this->Caller, this->Remaining, this->AimRemaining, this->RouteAim,
+       this->Priority, this->Idempotent, this->Depth, this->Call);
   }
 };
 
--- a/src/plugins/platform/keyvaluesource.h
+++ b/src/plugins/platform/keyvaluesource.h
@@ -27,6 +27,8 @@
 
   void read(const ReadPlatform &What, Done OnDone) override;
 
+  bool isExact() const override { return true; }
+
   void readPart(const Digest &Hash, Done OnDone) override;
 
 private:
--- a/src/plugins/platform/platformsource.h
+++ b/src/plugins/platform/platformsource.h
@@ -48,6 +48,9 @@
   /** Reads or watches the manifest or the VM list. */
   virtual void read(const ReadPlatform &What, Done OnDone) = 0;
 
+  /** Returns true when no read ever shows less than one before. */
+  virtual bool isExact() const { return false; }
+
   /** Reads an immutable value that a manifest names. */
   virtual void readPart(const Digest &Hash, Done OnDone) = 0;
 };
--- a/src/plugins/routing/balancer.h
+++ b/src/plugins/routing/balancer.h
@@ -23,9 +23,18 @@
   /** Time that the target would take for the request. */
   Duration Run{};
 
-  /** Time within which an answer is of full use. */
+  /** Deviation of that time. */
+  Duration RunDeviation{};
+
+  /** Time that is left in which an answer is of full use. */
   Duration Aim{};
 
+  /** Time that is left in which an answer is of any use. */
+  Duration Deadline{};
+
+  /** Bytes that the request and its answer are expected to have. */
+  double Bytes = 0;
+
   /** Share of recent calls that failed, from 0 to 1. */
   double ErrorRate = 0;
 
--- a/src/plugins/routing/exchange.cpp
+++ b/src/plugins/routing/exchange.cpp
@@ -55,12 +55,16 @@
 }
 
 ExchangeActions Exchange::tryNext(TimePoint Now) {
-  const Vm *Next =
-      this->Options.IdempotencyKey.empty()
-          ? this->Routes.pick(*this->Options.Service, this->Options.Route,
-                              *this->Options.Rules, this->Tried, Now)
-          : Router::ownerOf(*this->Options.Service,
-                            this->Options.IdempotencyKey);
+  const Vm *Next = this->Options.IdempotencyKey.empty()
+                       ? this->Routes.pick({.Service = this->Options.Service,
+                                            .Rules = this->Options.Rules,
+                                            .Route = this->Options.Route,
+                                            .Aim = this->Options.Aim,
+                                            .Deadline = this->Options.Deadline,
+                                            .Bytes = this->Options.Bytes},
+                                           this->Tried, Now)
+                       : Router::ownerOf(*this->Options.Service,
+                                         this->Options.IdempotencyKey);
   if (Next == nullptr && !this->Active.empty())
     return {};
   if (Next == nullptr)
--- a/src/plugins/routing/exchange.h
+++ b/src/plugins/routing/exchange.h
@@ -78,8 +78,15 @@
   const ServiceEntry *Service = nullptr;
   const Policy *Rules = nullptr;
   RouteName Route;
+
+  /** Time until which an answer is of full use. */
+  TimePoint Aim;
+
   TimePoint Deadline;
 
+  /** Bytes of the request's body. */
+  size_t Bytes = 0;
+
   /** Key of the caller; the request goes only to the key's owner. */
   std::string IdempotencyKey;
 };
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -12,6 +12,9 @@
 
 constexpr const char *DefaultBalancer = "two-choices";
 
+/** Weight of the newest answer in the mean size of a route's answers. */
+constexpr double BytesWeight = 0.05;
+
 bool contains(std::span<const UpstreamId> Ids, const UpstreamId &Id) {
   return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
 }
@@ -59,16 +62,20 @@
 }
 
 Candidate Router::candidate(const Vm &Upstream, const UpstreamView &View,
-                            const RouteName &Route, const Policy &Rules,
-                            TimePoint Now) const {
-  const Duration Run = View.run(this->Work.of(Route), Rules, Now);
-  const Duration Aim =
-      Rules.Aim > Duration::zero() ? Rules.Aim : Rules.Deadline;
+                            const PlacedRequest &Request, TimePoint Now) const {
+  const Policy &Rules = *Request.Rules;
+  const Work Usual = this->Works.of(Request.Route, aimOf(Rules));
+  const Duration Run = View.run(Usual.Mean, Rules, Now);
+  const auto Known = this->AnswerBytes.find(Request.Route);
+  const double Answer = Known == this->AnswerBytes.end() ? 0 : Known->second;
   return {.Upstream = &Upstream,
           .Load = View.load(Rules, Now),
           .Wait = View.wait(Rules, Run, Now),
           .Run = Run,
-          .Aim = Aim,
+          .RunDeviation = View.run(Usual.Deviation, Rules, Now),
+          .Aim = Request.Aim - Now,
+          .Deadline = Request.Deadline - Now,
+          .Bytes = static_cast<double>(Request.Bytes) + Answer,
           .ErrorRate = View.errorRate(),
           .Own = Upstream.Name == this->Self,
           .Near = Upstream.Domain == this->Current->Domain};
@@ -80,17 +87,17 @@
                                         : *Found->second;
 }
 
-const Vm *Router::pick(const ServiceEntry &Service, const RouteName &Route,
-                       const Policy &Rules,
+const Vm *Router::pick(const PlacedRequest &Request,
                        std::span<const UpstreamId> Excluded, TimePoint Now) {
+  const Policy &Rules = *Request.Rules;
   std::vector<Candidate> Healthy;
   std::vector<Candidate> Ejected;
-  for (const Vm &Each : Service.Upstreams) {
+  for (const Vm &Each : Request.Service->Upstreams) {
     const UpstreamView *View = this->find(Each.id());
     if (View == nullptr || contains(Excluded, Each.id()) || !View->takesWork())
       continue;
     std::vector<Candidate> &Group = View->ejected(Now) ? Ejected : Healthy;
-    Group.push_back(this->candidate(Each, *View, Route, Rules, Now));
+    Group.push_back(this->candidate(Each, *View, Request, Now));
   }
   // A request that was refused once had better come back later than go to an
   // upstream that fails.
@@ -126,11 +133,14 @@
     View->onEnd(End, Now);
 }
 
-void Router::onRun(const UpstreamId &Id, const RouteName &Route,
-                   Duration Took) {
+void Router::onRun(const UpstreamId &Id, const FinishedRun &Run) {
   if (UpstreamView *View = this->find(Id))
-    View->onRun(Took, this->Work.of(Route));
-  this->Work.add(Route, Took);
+    View->onRun(Run.Took, this->Works.of(Run.Route, Run.Aim).Mean);
+  this->Works.add(Run.Route, Run.Took);
+  const auto Bytes = static_cast<double>(Run.Bytes);
+  const auto [Known, New] = this->AnswerBytes.try_emplace(Run.Route, Bytes);
+  if (!New)
+    Known->second += BytesWeight * (Bytes - Known->second);
 }
 
 size_t Router::ejectedCount(TimePoint Now) const {
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -12,9 +12,39 @@
 #include <random>
 #include <span>
 #include <string>
+#include <unordered_map>
 
 namespace bluebellbarrow {
 
+/** What the choice of an upstream depends on. */
+struct PlacedRequest {
+  const ServiceEntry *Service = nullptr;
+  const Policy *Rules = nullptr;
+  RouteName Route;
+
+  /** Time until which an answer is of full use. */
+  TimePoint Aim;
+
+  TimePoint Deadline;
+
+  /** Bytes of its body. */
+  size_t Bytes = 0;
+};
+
+/** A request that a target has answered. */
+struct FinishedRun {
+  RouteName Route;
+
+  /** Time within which answers of the route are of full use. */
+  Duration Aim{};
+
+  /** Time that the target took. */
+  Duration Took{};
+
+  /** Bytes of the answer's body. */
+  size_t Bytes = 0;
+};
+
 /**
  * Knows what this node has seen of each upstream and picks one for a call:
  * leaves out those that drain, that failed lately or can't be reached, and
@@ -36,12 +66,11 @@
   void onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now);
 
   /**
-   * Returns an upstream of \a Service that is not in \a Excluded, or null
+   * Returns an upstream for \a Request that is not in \a Excluded, or null
    * when none takes work.
    */
-  const Vm *pick(const ServiceEntry &Service, const RouteName &Route,
-                 const Policy &Rules, std::span<const UpstreamId> Excluded,
-                 TimePoint Now);
+  const Vm *pick(const PlacedRequest &Request,
+                 std::span<const UpstreamId> Excluded, TimePoint Now);
 
   /** Returns the upstream that owns \a Key; null for a service without any. */
   static const Vm *ownerOf(const ServiceEntry &Service, const std::string &Key);
@@ -51,13 +80,8 @@
   /** \pre onSent() was called for this attempt. */
   void onEnd(const UpstreamId &Id, AttemptEnd End, TimePoint Now);
 
-  /** The target of \a Id took \a Took for a request of \a Route. */
-  void onRun(const UpstreamId &Id, const RouteName &Route, Duration Took);
-
-  /** Returns the usual time of a request of \a Route; zero for unknown. */
-  Duration usualRun(const RouteName &Route) const {
-    return this->Work.of(Route);
-  }
+  /** The target of \a Id answered a request. */
+  void onRun(const UpstreamId &Id, const FinishedRun &Run);
 
   /** Returns the upstreams that are left out now. */
   size_t ejectedCount(TimePoint Now) const;
@@ -65,15 +89,15 @@
 private:
   UpstreamView *find(const UpstreamId &Id);
   Candidate candidate(const Vm &Upstream, const UpstreamView &View,
-                      const RouteName &Route, const Policy &Rules,
-                      TimePoint Now) const;
+                      const PlacedRequest &Request, TimePoint Now) const;
   Balancer &balancer(const std::string &Name) const;
 
   VmName Self;
   std::mt19937_64 Random;
   std::shared_ptr<const Snapshot> Current;
   std::map<UpstreamId, UpstreamView> Views;
-  WorkEstimate Work;
+  WorkEstimate Works;
+  std::unordered_map<RouteName, double> AnswerBytes;
   std::map<std::string, std::unique_ptr<Balancer>> Balancers;
 };
 
--- a/src/plugins/routing/timemean.h
+++ b/src/plugins/routing/timemean.h
@@ -35,6 +35,12 @@
         std::chrono::duration<double>(this->Mean));
   }
 
+  /** Returns the standard deviation. */
+  Duration deviation() const {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::sqrt(this->Variance)));
+  }
+
   /** Returns a time that few exceed; nothing while too few are known. */
   std::optional<Duration> longest() const {
     if (this->Count < LeastCount)
--- a/src/plugins/routing/workestimate.h
+++ b/src/plugins/routing/workestimate.h
@@ -8,8 +8,15 @@
 
 namespace bluebellbarrow {
 
+/** The time that a target takes for a request. */
+struct Work {
+  Duration Mean{};
+  Duration Deviation{};
+};
+
 /**
- * The time that targets take for the requests of each route.
+ * The time that targets take for the requests of each route. Until a route was
+ * measured, a part of its aim is taken: aims are set above the usual time.
  *
  * Thread safety: none; owned by one task.
  */
@@ -18,14 +25,16 @@
   /** Takes in the time of one request. */
   void add(const RouteName &Route, Duration Time) {
     this->Routes[Route].add(Time);
-    this->All.add(Time);
   }
 
-  /** Returns the mean of \a Route; that of all for one not measured yet. */
-  Duration of(const RouteName &Route) const {
+  /** Returns the work of a request of \a Route, which has \a Aim. */
+  Work of(const RouteName &Route, Duration Aim) const {
     const auto Found = this->Routes.find(Route);
-    return Found == this->Routes.end() ? this->All.mean()
-                                       : Found->second.mean();
+    if (Found != this->Routes.end())
+      return {.Mean = Found->second.mean(),
+              .Deviation = Found->second.deviation()};
+    const auto Guess = std::chrono::duration_cast<Duration>(Aim * AimShare);
+    return {.Mean = Guess, .Deviation = Guess / 2};
   }
 
   /** Returns a time that few requests of \a Route exceed, if it is known. */
@@ -35,8 +44,10 @@
   }
 
 private:
+  /** Part of the aim that a request of an unknown route is taken to need. */
+  static constexpr double AimShare = 0.35;
+
   std::unordered_map<RouteName, TimeMean> Routes;
-  TimeMean All;
 };
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/bootstrap.h
+++ b/src/plugins/spread/bootstrap.h
@@ -31,6 +31,9 @@
   /** Looks at the state; returns the cause when it has just settled. */
   SettledBy poll(const VersionTag &InForce, TimePoint Now);
 
+  /** Settles at once. */
+  void settle() { this->Settled = true; }
+
   bool settled() const { return this->Settled; }
 
 private:
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -85,6 +85,7 @@
             .Seeds = Settings.Seeds,
             .BootSilence = Settings.BootSilence,
             .Seed = (static_cast<uint64_t>(Entropy()) << 32U) | Entropy(),
+            .ExactPlatform = this->Platform->isExact(),
             .FirstPolicy = defaultsFrom(Settings.Overrides).Spread};
   }
 
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -38,6 +38,12 @@
   /** Seed of the random source. */
   uint64_t Seed = 0;
 
+  /**
+   * The platform never shows an older version than before, so that a start
+   * may believe it without asking peers first.
+   */
+  bool ExactPlatform = false;
+
   /** Policy until a version is in force. */
   SpreadPolicy FirstPolicy = defaultSpreadPolicy();
 };
@@ -168,6 +174,8 @@
                          const Address &From);
 
   void pollBoot(TimePoint Now);
+  void pollExactBoot(TimePoint Now);
+  void settle(const std::string &Cause, TimePoint Now);
   void pollReads(TimePoint Now);
   void delayRead(Watch &Read, TimePoint Now);
   void startRead(ItemKind Kind, Duration Wait, TimePoint Now);
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -181,7 +181,13 @@
 }
 
 void Spread::pollBoot(TimePoint Now) {
-  if (this->Boot.settled() || Now < this->NextAsk)
+  if (this->Boot.settled())
+    return;
+  if (this->Options.ExactPlatform) {
+    this->pollExactBoot(Now);
+    return;
+  }
+  if (Now < this->NextAsk)
     return;
   this->NextAsk = Now + AskInterval;
   if (this->Nodes.size() == 0) {
@@ -200,12 +206,35 @@
     this->askPeers(AskedInside, AskedOutside, Now);
     return;
   }
+  this->settle(Cause == SettledBy::Peers     ? "peers told the newest version"
+               : Cause == SettledBy::Silence ? "peers were silent"
+                                             : "peers could not hand it over",
+               Now);
+}
+
+void Spread::pollExactBoot(TimePoint Now) {
+  const bool HasConfig = !this->ledger(ItemKind::Config).inForce().none();
+  const bool HasList = !this->ledger(ItemKind::VmList).inForce().none();
+  if (HasConfig && HasList) {
+    this->Boot.settle();
+    this->settle("has a version and a list", Now);
+    return;
+  }
+  if (Now >= this->NextAsk) {
+    this->NextAsk = Now + AskInterval;
+    for (const Address &Seed : this->Options.Seeds)
+      this->sendDigest(Seed, DigestPurpose::Ask, Now);
+  }
+  if (Now - this->Started < this->Options.BootSilence)
+    return;
+  for (const ItemKind Kind : Kinds)
+    this->startRead(Kind, Duration::zero(), Now);
+}
+
+void Spread::settle(const std::string &Cause, TimePoint Now) {
   this->Schedule.restart(Now);
   this->audit(AuditKind::Settled, ItemKind::Config,
-              this->ledger(ItemKind::Config).inForce(), "self",
-              Cause == SettledBy::Peers     ? "peers told the newest version"
-              : Cause == SettledBy::Silence ? "peers were silent"
-                                            : "peers could not hand it over");
+              this->ledger(ItemKind::Config).inForce(), "self", Cause);
 }
 
 void Spread::pollReads(TimePoint Now) {
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -4,6 +4,7 @@
 #include "kernel/clock.h"
 #include "kernel/schema.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -46,6 +47,12 @@
   int64_t MaxConnections = 0;
 };
 
+/** Returns the time within which an answer is of full use. */
+inline Duration aimOf(const Policy &Rules) {
+  return Rules.Aim > Duration::zero() ? std::min(Rules.Aim, Rules.Deadline)
+                                      : Rules.Deadline;
+}
+
 /** What a node accepts from callers; defaults are those of the schema. */
 struct CallerLimits {
   int64_t MaxHeader = 0;
--- a/tests/support/callworld.cpp
+++ b/tests/support/callworld.cpp
@@ -193,6 +193,7 @@
                       .Service = &this->Map->Services[Service],
                       .Rules = &this->Map->Services[Service].Effective,
                       .Route = RouteName("r"),
+                      .Aim = Deadline,
                       .Deadline = Deadline},
       *this->Routes, *this->Budgets[Service]);
   this->carryOut(Call, Call->Decisions->start(this->Now));
