--- a/src/bluebellbarrow/fleetclient.cpp
+++ b/src/bluebellbarrow/fleetclient.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr uint32_t MaxFrameBytes = 16U * 1024 * 1024;
 constexpr size_t MaxQueuedBytes = size_t{1024} * 1024;
 constexpr Duration SendPeriod = milliseconds(10);
 constexpr size_t SendsInPeriod = 40;
@@ -27,7 +26,7 @@
             {.Name = "list",
              .Ip = Address(),
              .Port = 0,
-             .MaxFrameBytes = MaxFrameBytes,
+             .MaxFrameBytes = MaxControlFrameBytes,
              .MaxQueuedBytes = MaxQueuedBytes},
             {.Accepted = [](StreamId, const Address &) {},
              .Connected = [](StreamId) {},
--- /dev/null
+++ b/src/kernel/compression.h
@@ -0,0 +1,23 @@
+#ifndef BLUEBELLBARROW_KERNEL_COMPRESSION_H
+#define BLUEBELLBARROW_KERNEL_COMPRESSION_H
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bluebellbarrow {
+
+/** Returns \a Bytes in the zlib format. Thread safety: safe. */
+std::string compressed(std::string_view Bytes);
+
+/**
+ * Returns the bytes that were compressed; nothing for what is malformed or
+ * would be longer than \a MaxBytes. Thread safety: safe.
+ */
+std::optional<std::string> decompressed(std::string_view Bytes,
+                                        size_t MaxBytes);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_KERNEL_COMPRESSION_H
--- a/src/plugins/routing/leastlossbalancer.cpp
+++ b/src/plugins/routing/leastlossbalancer.cpp
@@ -9,16 +9,16 @@
 namespace {
 
 /** Part of a request's use that is lost by a call to another domain. */
-constexpr double FarLoss = 0.015;
+constexpr double FarLoss = 0.02;
 
 /** The same for each KB that crosses between domains. */
-constexpr double FarLossPerKb = 0.025;
+constexpr double FarLossPerKb = 0.03;
 
 /** Part of a request's use that is lost when its answer comes late. */
 constexpr double LateLoss = 0.7;
 
 /** Weight of the expected end among upstreams that lose as much. */
-constexpr double EndLoss = 0.03;
+constexpr double EndLoss = 0.02;
 
 /** Part of the run by which a full upstream counts later than an idle one. */
 constexpr double LoadShare = 0.3;
--- a/src/plugins/spread/controlcodec.cpp
+++ b/src/plugins/spread/controlcodec.cpp
@@ -1,5 +1,6 @@
 #include "controlcodec.h"
 
+#include "kernel/compression.h"
 #include "kernel/wirearchive.h"
 
 namespace bluebellbarrow {
@@ -8,6 +9,12 @@
 
 constexpr uint8_t GreetingKind = 0xf0;
 
+/** Marks the kind of a frame whose body is compressed. */
+constexpr uint8_t CompressedFlag = 0x40;
+
+/** Length from which on a body is worth compressing. */
+constexpr size_t LeastCompressed = 400;
+
 template <typename T>
 std::optional<ControlMessage> decodeAs(const std::string &Body) {
   T Message;
@@ -37,14 +44,27 @@
 } // namespace
 
 Frame toFrame(const ControlMessage &Message) {
-  return {.Kind = static_cast<uint8_t>(Message.index()),
-          .Body = std::visit([](const auto &Each) { return encode(Each); },
-                             Message)};
+  Frame Value{.Kind = static_cast<uint8_t>(Message.index()),
+              .Body = std::visit([](const auto &Each) { return encode(Each); },
+                                 Message)};
+  if (Value.Body.size() < LeastCompressed)
+    return Value;
+  return {.Kind = static_cast<uint8_t>(Value.Kind | CompressedFlag),
+          .Body = compressed(Value.Body)};
 }
 
 std::optional<ControlMessage> fromFrame(const Frame &Value) {
-  constexpr size_t Count = std::variant_size_v<ControlMessage>;
-  return decodeKind(Value, std::make_index_sequence<Count>());
+  constexpr auto Kinds =
+      std::make_index_sequence<std::variant_size_v<ControlMessage>>();
+  if ((Value.Kind & CompressedFlag) == 0)
+    return decodeKind(Value, Kinds);
+  std::optional<std::string> Body =
+      decompressed(Value.Body, MaxControlFrameBytes);
+  if (!Body)
+    return std::nullopt;
+  return decodeKind({.Kind = static_cast<uint8_t>(Value.Kind & ~CompressedFlag),
+                     .Body = std::move(*Body)},
+                    Kinds);
 }
 
 Frame greetingFrame(MeshId Mesh) {
--- a/src/plugins/spread/controlcodec.h
+++ b/src/plugins/spread/controlcodec.h
@@ -10,6 +10,9 @@
 
 namespace bluebellbarrow {
 
+/** Longest frame, also once decompressed: a version of the largest tree. */
+inline constexpr uint32_t MaxControlFrameBytes = 16U * 1024 * 1024;
+
 /** Returns a control message as a frame. Thread safety: safe. */
 Frame toFrame(const ControlMessage &Message);
 
--- a/src/plugins/spread/controllinks.cpp
+++ b/src/plugins/spread/controllinks.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Longest frame: a whole version of the largest tree. */
-constexpr uint32_t MaxFrameBytes = 16U * 1024 * 1024;
-
 constexpr size_t MaxQueuedBytes = size_t{32} * 1024 * 1024;
 constexpr Duration IdleLimit = seconds(120);
 
@@ -25,7 +22,7 @@
               {.Name = "control",
                .Ip = Ip,
                .Port = Port,
-               .MaxFrameBytes = MaxFrameBytes,
+               .MaxFrameBytes = MaxControlFrameBytes,
                .MaxQueuedBytes = MaxQueuedBytes},
               {.Accepted =
                    [this](StreamId Stream, const Address &Peer) {
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -107,12 +107,12 @@
     return;
   this->tellChildren(Now);
   for (const Address &Root : this->roots())
-    this->sendDigest(Root, DigestPurpose::Round, Now);
+    this->sendDigest(Root, DigestPurpose::ReadNews, Now);
   // Those that would read next learn of it even when the tree has a gap.
   const auto &Members = this->Nodes.domainMembers();
   for (size_t Rank = 1; Rank < std::min(ToldRanks, Members.size()); ++Rank)
     if (Rank != this->Nodes.rank())
-      this->sendDigest(Members[Rank].Ip, DigestPurpose::Round, Now);
+      this->sendDigest(Members[Rank].Ip, DigestPurpose::ReadNews, Now);
 }
 
 void Spread::tellChildren(TimePoint Now) {
@@ -120,7 +120,7 @@
     return;
   const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
   for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
-    this->sendDigest(Child, DigestPurpose::Round, Now);
+    this->sendDigest(Child, DigestPurpose::ReadNews, Now);
 }
 
 void Spread::onPlatformFailed(ItemKind Kind, TimePoint Now) {
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -53,7 +53,18 @@
 };
 
 /** Why a digest is sent. */
-enum class DigestPurpose : uint8_t { Round = 0, Ask = 1, Answer = 2 };
+enum class DigestPurpose : uint8_t {
+  /** Sent from time to time to repair what was missed. */
+  Round = 0,
+
+  /** Wants an Answer. */
+  Ask = 1,
+
+  Answer = 2,
+
+  /** Tells of a read of the platform. */
+  ReadNews = 3,
+};
 
 /** The periodic datagram between nodes. */
 struct DigestMessage {
@@ -64,7 +75,6 @@
   /** The versions in force, by ItemKind. */
   std::array<VersionTag, ItemKindCount> Versions;
 
-  FailureDomain Domain;
   ReadNews Read;
 
   /** Recent announcements of others. */
@@ -73,7 +83,7 @@
   template <typename Archive> void serialize(Archive &Ar) {
     auto Raw = static_cast<uint8_t>(this->Purpose);
     Ar(this->Mesh, Raw, this->Sender, this->Versions[0], this->Versions[1],
-       this->Domain, this->Read, this->News);
+       this->Read, this->News);
     this->Purpose = static_cast<DigestPurpose>(Raw);
   }
 };
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -148,7 +148,9 @@
       Target.Pulls.onNewer(From, Theirs, !this->Boot.settled(), Now);
     PeerIsBehind = PeerIsBehind || Theirs < Ours;
   }
-  if (PeerIsBehind && Message.Purpose == DigestPurpose::Round)
+  const bool Unasked = Message.Purpose == DigestPurpose::Round ||
+                       Message.Purpose == DigestPurpose::ReadNews;
+  if (PeerIsBehind && Unasked)
     this->sendDigest(From, DigestPurpose::Answer, Now);
 }
 
@@ -157,9 +159,10 @@
                         .Purpose = Purpose,
                         .Sender = this->Members.own(),
                         .Versions = {},
-                        .Domain = this->Options.Domain,
                         .Read = this->Schedule.news(Now),
-                        .News = this->Members.recentNews(MaxNewsInDigest)};
+                        .News = {}};
+  if (Purpose != DigestPurpose::ReadNews)
+    Message.News = this->Members.recentNews(MaxNewsInDigest);
   for (const ItemKind Kind : Kinds)
     Message.Versions[static_cast<size_t>(Kind)] =
         tagOf(this->ledger(Kind).inForce());
