One node reads the platform, the others ask later

Ruled out: fewer digests by a longer digest period alone; the rounds were a twentieth of the datagrams.

--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -82,6 +82,7 @@
             .Self = Settings.Name,
             .Domain = Settings.Domain,
             .Life = this->Context.Life,
+            .Ip = Settings.Ip,
             .Seeds = Settings.Seeds,
             .BootSilence = Settings.BootSilence,
             .Seed = (static_cast<uint64_t>(Entropy()) << 32U) | Entropy(),
--- a/src/plugins/spread/readschedule.cpp
+++ b/src/plugins/spread/readschedule.cpp
@@ -20,7 +20,7 @@
 constexpr int MaxDoublings = 5;
 
 /** Share of the base age at which peers are asked. */
-constexpr double AskShare = 0.8;
+constexpr double AskShare = 0.9;
 
 /** Time between two questions to peers. */
 constexpr Duration AskInterval = milliseconds(150);
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::array<ItemKind, ItemKindCount> Kinds = {ItemKind::Config,
                                                        ItemKind::VmList};
-constexpr Duration MinReadInterval = milliseconds(50);
 constexpr Duration FirstReadDelay = milliseconds(200);
 constexpr int MaxReadDoublings = 5;
 constexpr Duration MaxHold = milliseconds(500);
@@ -77,7 +76,7 @@
                              const std::string &Text, TimePoint Now) {
   Watch &Read = this->stream(Kind).Read;
   Read.InFlight = false;
-  Read.NotBefore = Now + MinReadInterval;
+  Read.NotBefore = Now + this->Tuning.ReadInterval;
   if (this->holding(Now))
     return;
   Read.LastGood = true;
@@ -95,7 +94,7 @@
   Read.InFlight = false;
   Read.LastGood = true;
   Read.Failures = 0;
-  Read.NotBefore = Now + MinReadInterval;
+  Read.NotBefore = Now;
   this->onGoodRead(Now);
 }
 
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -29,6 +29,9 @@
   FailureDomain Domain;
   Incarnation Life;
 
+  /** Address of this node. */
+  Address Ip;
+
   /** Nodes to ask for the VM list before the platform is asked. */
   std::vector<Address> Seeds;
 
@@ -175,6 +178,7 @@
 
   void pollBoot(TimePoint Now);
   void pollExactBoot(TimePoint Now);
+  bool waitsForSeeds(TimePoint Now) const;
   void settle(const std::string &Cause, TimePoint Now);
   void pollReads(TimePoint Now);
   void delayRead(Watch &Read, TimePoint Now);
@@ -210,6 +214,10 @@
   TimePoint Started;
   TimePoint NextDigest;
   TimePoint NextAsk;
+
+  /** When a seed answered last that had nothing to give. */
+  std::optional<TimePoint> EmptySeed;
+
   TimePoint HoldUntil;
   TimePoint TransferWindow;
   int64_t TransfersInWindow = 0;
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -16,6 +16,14 @@
                                                        ItemKind::VmList};
 constexpr Duration AskInterval = milliseconds(200);
 constexpr Duration SeedSilence = milliseconds(600);
+constexpr Duration BootAskInterval = milliseconds(50);
+
+/** Time for which a seed that answered counts as reading the platform. */
+constexpr Duration SeedPresence = milliseconds(200);
+
+/** Longest time for which a start waits for what its seeds read. */
+constexpr Duration LongestSeedWait = milliseconds(600);
+
 constexpr Duration ReadGrace = seconds(2);
 constexpr Duration TransferWindowLength = milliseconds(250);
 constexpr uint32_t BusyRetryMs = 300;
@@ -125,6 +133,8 @@
     this->sendDigest(From, DigestPurpose::Answer, Now);
   if (Message.Sender.Name.empty() || Message.Sender.Name == this->Options.Self)
     return;
+  if (Message.Versions[0].none())
+    this->EmptySeed = Now;
 
   this->HoldUntil = std::min(this->HoldUntil, Now);
   this->mergeAnnouncement(Message.Sender, From);
@@ -224,14 +234,27 @@
     return;
   }
   if (Now >= this->NextAsk) {
-    this->NextAsk = Now + AskInterval;
+    this->NextAsk = Now + BootAskInterval;
     for (const Address &Seed : this->Options.Seeds)
-      this->sendDigest(Seed, DigestPurpose::Ask, Now);
+      if (Seed != this->Options.Ip)
+        this->sendDigest(Seed, DigestPurpose::Ask, Now);
   }
-  if (Now - this->Started < this->Options.BootSilence)
+  if (this->waitsForSeeds(Now))
     return;
   for (const ItemKind Kind : Kinds)
-    this->startRead(Kind, Duration::zero(), Now);
+    this->startRead(Kind, this->Tuning.WatchWait, Now);
+}
+
+bool Spread::waitsForSeeds(TimePoint Now) const {
+  const Duration Waited = Now - this->Started;
+  if (Waited < this->Options.BootSilence)
+    return true;
+  const bool IsSeed =
+      std::find(this->Options.Seeds.begin(), this->Options.Seeds.end(),
+                this->Options.Ip) != this->Options.Seeds.end();
+  const bool Promised =
+      this->EmptySeed && Now - *this->EmptySeed < SeedPresence;
+  return !IsSeed && Promised && Waited < LongestSeedWait;
 }
 
 void Spread::settle(const std::string &Cause, TimePoint Now) {
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -80,7 +80,7 @@
      &CallerLimits::IdleTime},
 }};
 
-const std::array<FieldSpec<SpreadPolicy>, 11> SpreadTable = {{
+const std::array<FieldSpec<SpreadPolicy>, 12> SpreadTable = {{
     {{"spread", "digest-period", KeyType::Span, 50 * Millisecond, Minute,
       "500 ms", "time between two rounds of digests"},
      &SpreadPolicy::DigestPeriod},
@@ -93,6 +93,9 @@
     {{"spread", "watch-wait", KeyType::Span, 100 * Millisecond, 10 * Minute,
       "20 s", "time for which the platform may hold a watch"},
      &SpreadPolicy::WatchWait},
+    {{"spread", "read-interval", KeyType::Span, 0, Minute, "50 ms",
+      "least time between a change that was read and the next read"},
+     &SpreadPolicy::ReadInterval},
     {{"spread", "ack-limit", KeyType::Span, 10 * Millisecond, Minute, "300 ms",
       "time after which a push counts as lost"},
      &SpreadPolicy::AckLimit},
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -67,6 +67,10 @@
   Duration ReadBase{};
   Duration ReadStep{};
   Duration WatchWait{};
+
+  /** Least time between a change that was read and the next read. */
+  Duration ReadInterval{};
+
   Duration AckLimit{};
   int64_t DigestPeers = 0;
   int64_t FanOut = 0;
