VMs that lapsed with the platform stay in use until it had time to list them

Ruled out: keeping them in the reader's list only, with numbers between the platform's: a second reader would publish another list of the same number. Keeping them on every node needs no agreement, and lists stay exact.

ReadSchedule tells the return from the ages in digests; a pause of the process itself is not an outage.

--- a/src/plugins/audit/auditevent.cpp
+++ b/src/plugins/audit/auditevent.cpp
@@ -22,6 +22,10 @@
     return "state";
   case AuditKind::Paused:
     return "paused";
+  case AuditKind::VmsKept:
+    return "vms-kept";
+  case AuditKind::VmsDropped:
+    return "vms-dropped";
   }
   return "unknown";
 }
--- a/src/plugins/audit/auditevent.h
+++ b/src/plugins/audit/auditevent.h
@@ -19,6 +19,8 @@
   Settled,
   StateChanged,
   Paused,
+  VmsKept,
+  VmsDropped,
 };
 
 /** Returns the name of \a Kind as the trail shows it. */
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -180,7 +180,8 @@
         this->Decisions.store(ItemKind::VmList).current();
     if (Config != nullptr && List != nullptr)
       this->Context.Bus.Snapshots.publish({this->Compiler.compile(
-          *Config, *List, this->Context.Settings.Domain)});
+          *Config, this->Decisions.vmsInUse(), List->Id,
+          this->Context.Settings.Domain)});
   }
 
   void act(const MemberChanged &Action) {
--- a/src/plugins/spread/readschedule.cpp
+++ b/src/plugins/spread/readschedule.cpp
@@ -22,6 +22,9 @@
 /** Share of the base age at which peers are asked. */
 constexpr double AskShare = 0.9;
 
+/** Multiple of the base age from which on the platform counts as away. */
+constexpr double AwayShare = 2;
+
 /** Time between two questions to peers. */
 constexpr Duration AskInterval = milliseconds(150);
 
@@ -79,10 +82,23 @@
     return false;
   const TimePoint When = Now - milliseconds(News.GoodAge);
   const bool IsNews = !this->Good || When > *this->Good + NewsStep;
-  this->Good = std::max(When, this->Good.value_or(When));
+  this->takeGood(When);
   return IsNews;
 }
 
+void ReadSchedule::takeGood(TimePoint When) {
+  if (this->Good && When <= *this->Good)
+    return;
+  if (this->Good && this->isAway(When))
+    this->Returned = When;
+  this->Good = When;
+}
+
+bool ReadSchedule::isAway(TimePoint Now) const {
+  return this->Good &&
+         Now - *this->Good > scaled(this->Options.Base, AwayShare);
+}
+
 void ReadSchedule::takeReader(const Reader &Heard, TimePoint Now) {
   if (Now - Heard.Good > this->Options.Base)
     return;
@@ -96,7 +112,7 @@
 
 void ReadSchedule::onGoodRead(TimePoint Now) {
   this->OwnTry = Now;
-  this->Good = Now;
+  this->takeGood(Now);
   this->takeReader({.Place = this->Place, .Good = Now}, Now);
   this->Failures = 0;
   this->NotBefore = Now;
--- a/src/plugins/spread/readschedule.h
+++ b/src/plugins/spread/readschedule.h
@@ -76,6 +76,15 @@
   /** Returns the age of the newest good read known, if any. */
   std::optional<Duration> goodAge(TimePoint Now) const;
 
+  /** Returns when the platform was back after an outage, if it was away. */
+  std::optional<TimePoint> returned() const { return this->Returned; }
+
+  /** Returns whether the last good read is so old that it must be away. */
+  bool isAway(TimePoint Now) const;
+
+  /** Forgets the age of the last read; it says nothing after a pause. */
+  void forgetAge() { this->Good.reset(); }
+
 private:
   bool standsAside(TimePoint Now) const;
   bool isReader() const;
@@ -96,10 +105,14 @@
   };
 
   void takeReader(const Reader &Heard, TimePoint Now);
+  void takeGood(TimePoint When);
 
   /** The newest good read known. */
   std::optional<TimePoint> Good;
 
+  /** First good read after the last outage. */
+  std::optional<TimePoint> Returned;
+
   /** The best-placed node that is known to read. */
   std::optional<Reader> Best;
 
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -65,6 +65,7 @@
   this->pollDigests(Now);
   this->pollAsk(Now);
   this->adopt(this->Pushes.takeOverdue(Now), Now);
+  this->expireLapsed(Now);
   if (this->holding(Now))
     return;
   for (const ItemKind Kind : Kinds)
@@ -222,7 +223,7 @@
   Target.Store.put(Version);
   Target.Pulls.onApplied(tagOf(Version->Id));
   if (Kind == ItemKind::VmList)
-    this->applyVmList();
+    this->applyVmList(Now);
   else
     this->Tuning = this->PolicyOf(*Version);
   this->Schedule.setOptions({.Readers = this->Tuning.Readers,
@@ -233,14 +234,39 @@
   this->forward(Kind, How, Address(From), Now);
 }
 
-void Spread::applyVmList() {
+void Spread::applyVmList(TimePoint Now) {
   const WholeVersionPtr List = this->store(ItemKind::VmList).current();
   std::vector<Vm> All;
   for (const CatalogEntry &Each : List->Content.Entries) {
     const auto Vms = parseVmPart(Each.Path, List->text(Each.Path));
     All.insert(All.end(), Vms.value().begin(), Vms.value().end());
   }
-  this->Nodes = Topology(All, this->Options.Self, this->Options.Domain);
+  // The list may come before the news of the read that brought it.
+  const TimePoint Returned = this->Schedule.isAway(Now)
+                                 ? Now
+                                 : this->Schedule.returned().value_or(
+                                       Now - this->Tuning.LapseGrace);
+  this->Lapsed.apply(std::move(All), Returned + this->Tuning.LapseGrace, Now);
+  if (this->Lapsed.kept() > 0)
+    this->audit(AuditKind::VmsKept, ItemKind::VmList,
+                this->ledger(ItemKind::VmList).inForce(), "self",
+                std::to_string(this->Lapsed.kept()) +
+                    " not listed since the platform is back");
+  this->useVms();
+}
+
+void Spread::expireLapsed(TimePoint Now) {
+  if (!this->Lapsed.expire(Now))
+    return;
+  this->audit(AuditKind::VmsDropped, ItemKind::VmList,
+              this->ledger(ItemKind::VmList).inForce(), "self",
+              "not listed again in time");
+  this->useVms();
+  this->Actions.emplace_back(VersionInForce{ItemKind::VmList});
+}
+
+void Spread::useVms() {
+  this->Nodes = Topology(this->Lapsed.inUse(), this->Options.Self, this->Options.Domain);
   this->Schedule.setPlace(this->Nodes.readPlace(), this->Nodes.size());
   this->Members.retain([this](const VmName &Name) {
     return this->Nodes.findByName(Name) != nullptr;
@@ -353,6 +379,7 @@
   this->audit(AuditKind::Paused, ItemKind::Config, VersionId(), "self",
               std::to_string(toMilliseconds(Length)) + " ms");
   this->HoldUntil = Now + MaxHold;
+  this->Schedule.forgetAge();
   this->Pushes.clear();
   for (const ItemKind Kind : Kinds)
     this->stream(Kind).Pulls.clear();
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -3,6 +3,7 @@
 
 #include "bootstrap.h"
 #include "catalogstore.h"
+#include "lapsedvms.h"
 #include "platformfetch.h"
 #include "plugins/membership/membership.h"
 #include "pullcontrol.h"
@@ -110,6 +111,9 @@
 
   const VersionLedger &ledger(ItemKind Kind) const;
 
+  /** Returns the VMs in use: those listed, and those that lapsed just now. */
+  std::vector<Vm> vmsInUse() const { return this->Lapsed.inUse(); }
+
   const Topology &topology() const { return this->Nodes; }
 
   const Membership &membership() const { return this->Members; }
@@ -160,7 +164,9 @@
   void finishFetch(TimePoint Now);
   void accept(ItemKind Kind, const WholeVersionPtr &Version, Origin How,
               const std::string &From, TimePoint Now);
-  void applyVmList();
+  void applyVmList(TimePoint Now);
+  void useVms();
+  void expireLapsed(TimePoint Now);
   void onGoodRead(TimePoint Now);
   void tellChildren(TimePoint Now);
 
@@ -204,6 +210,7 @@
   SpreadPolicy Tuning;
   std::mt19937_64 Random;
   std::array<Stream, ItemKindCount> Streams;
+  LapsedVms Lapsed;
   Topology Nodes;
   Membership Members;
   ReadSchedule Schedule;
--- a/src/plugins/spread/versioncompiler.cpp
+++ b/src/plugins/spread/versioncompiler.cpp
@@ -56,15 +56,12 @@
 }
 
 std::shared_ptr<const Snapshot>
-VersionCompiler::compile(const WholeVersion &Config, const WholeVersion &List,
+VersionCompiler::compile(const WholeVersion &Config,
+                         const std::vector<Vm> &Vms,
+                         const VersionId &ListVersion,
                          const FailureDomain &Domain) {
-  std::vector<Vm> Vms;
-  for (const CatalogEntry &Each : List.Content.Entries) {
-    const auto Part = parseVmPart(Each.Path, List.text(Each.Path));
-    Vms.insert(Vms.end(), Part.value().begin(), Part.value().end());
-  }
   const TreePtr Tree = this->treeOf(Config).value();
-  return compileSnapshot(*Tree, Config.Id, Vms, List.Id, Domain, this->Base);
+  return compileSnapshot(*Tree, Config.Id, Vms, ListVersion, Domain, this->Base);
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/versioncompiler.h
+++ b/src/plugins/spread/versioncompiler.h
@@ -36,7 +36,8 @@
 
   /** Compiles a snapshot. \pre check() found nothing in either. */
   std::shared_ptr<const Snapshot> compile(const WholeVersion &Config,
-                                          const WholeVersion &List,
+                                          const std::vector<Vm> &Vms,
+                                          const VersionId &ListVersion,
                                           const FailureDomain &Domain);
 
 private:
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -80,7 +80,7 @@
      &CallerLimits::IdleTime},
 }};
 
-const std::array<FieldSpec<SpreadPolicy>, 12> SpreadTable = {{
+const std::array<FieldSpec<SpreadPolicy>, 13> SpreadTable = {{
     {{"spread", "digest-period", KeyType::Span, 50 * Millisecond, Minute,
       "500 ms", "time between two rounds of digests"},
      &SpreadPolicy::DigestPeriod},
@@ -96,6 +96,9 @@
     {{"spread", "read-interval", KeyType::Span, 0, Minute, "50 ms",
       "least time between a change that was read and the next read"},
      &SpreadPolicy::ReadInterval},
+    {{"spread", "lapse-grace", KeyType::Span, 0, Minute, "0 s",
+      "time for which VMs are kept that lapsed while the platform was away"},
+     &SpreadPolicy::LapseGrace},
     {{"spread", "ack-limit", KeyType::Span, 10 * Millisecond, Minute, "300 ms",
       "time after which a push counts as lost"},
      &SpreadPolicy::AckLimit},
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -71,6 +71,9 @@
   /** Least time between a change that was read and the next read. */
   Duration ReadInterval{};
 
+  /** Time for which VMs are kept that lapsed while the platform was away. */
+  Duration LapseGrace{};
+
   Duration AckLimit{};
   int64_t DigestPeers = 0;
   int64_t FanOut = 0;
--- a/tests/support/spreadworld.cpp
+++ b/tests/support/spreadworld.cpp
@@ -16,6 +16,8 @@
 constexpr Duration TickPeriod = milliseconds(25);
 constexpr Duration LinkDelay = milliseconds(1);
 constexpr Duration PlatformDelay = milliseconds(2);
+constexpr Duration ExactBootSilence = milliseconds(60);
+constexpr size_t SeedCount = 3;
 constexpr Duration PauseLimit = milliseconds(1000);
 
 const std::string ManifestName = "manifest";
@@ -73,7 +75,9 @@
       Text += " " + Word;
     this->line(Text);
   }
-  if (Verb == "profile") {
+  if (Verb == "exact") {
+    this->Exact = true;
+  } else if (Verb == "profile") {
     this->Profile.clear();
     for (size_t Index = 1; Index + 1 < Words.size(); Index += 2)
       this->Profile += Words[Index] + " = " + Words[Index + 1] + "\n";
@@ -133,7 +137,14 @@
     for (const auto &[Name, Text] : this->HeldValues)
       this->Fresh.Values[Name] = {Text, ++this->Revision};
   } else if (Verb == "vmlist") {
+    this->Unlisted = {Words.begin() + 1, Words.end()};
     this->publishVmList();
+  } else if (Verb == "refuse") {
+    for (const Node *Each : this->chosen(Words[1]))
+      this->Refused.insert(Each->Listed.Name.str());
+  } else if (Verb == "serve") {
+    for (const Node *Each : this->chosen(Words[1]))
+      this->Refused.erase(Each->Listed.Name.str());
   } else if (Verb == "platform") {
     if (Words[1] == "stale" || Words[1] == "alternate")
       this->Old = this->Fresh;
@@ -175,6 +186,12 @@
     if (Words[1] == "refused" && Ledger.refused().size() != toNumber(Words[3]))
       this->fail(Name + " has refused " +
                  std::to_string(Ledger.refused().size()) + " versions");
+    if (Words[1] == "uses" || Words[1] == "uses-not") {
+      const bool Uses =
+          Each->Decisions->topology().findByName(VmName(Words[3])) != nullptr;
+      if (Uses != (Words[1] == "uses"))
+        this->fail(Name + (Uses ? " uses " : " does not use ") + Words[3]);
+    }
     if (Words[1] == "takes-work") {
       const bool Takes =
           Each->Decisions->membership().takesWork(VmName(Words[3]));
@@ -202,7 +219,15 @@
                     .Self = Target.Listed.Name,
                     .Domain = Domain,
                     .Life = Incarnation(Target.Life),
-                    .Seed = Target.Life * 100},
+                    .Ip = Target.Listed.Ip,
+                    .Seeds = this->Exact ? this->seeds()
+                                         : std::vector<Address>(),
+                    .BootSilence = this->Exact ? ExactBootSilence
+                                               : SpreadOptions().BootSilence,
+                    .Seed = Target.Life * 100,
+                    .ExactPlatform = this->Exact,
+                    .FirstPolicy = this->Exact ? this->firstPolicy()
+                                               : SpreadOptions().FirstPolicy},
       [Compiler](ItemKind Kind, const WholeVersion &Version) {
         return Compiler->check(Kind, Version);
       },
@@ -216,6 +241,23 @@
                [this](Node &Node) { this->tick(Node); });
 }
 
+std::vector<Address> SpreadWorld::seeds() const {
+  std::vector<Address> Seeds;
+  for (const auto &[Name, Each] : this->Nodes)
+    if (Seeds.size() < SeedCount)
+      Seeds.push_back(Each.Listed.Ip);
+  return Seeds;
+}
+
+SpreadPolicy SpreadWorld::firstPolicy() const {
+  const auto Tree = SettingsTree::build(
+      {{"mesh", std::make_shared<const Branch>(
+                    parseBranch("mesh", "[mesh]\nname = m\n[spread]\n" +
+                                            this->Profile + "\n")
+                        .value())}});
+  return Tree.value()->spreadPolicy(FailureDomain("any"), SpreadPolicy());
+}
+
 void SpreadWorld::publish(uint64_t Number, const std::string &What,
                           const std::string &Hold) {
   Catalog Of{.Mesh = "m", .Number = VersionNumber(Number)};
@@ -240,12 +282,15 @@
 
 void SpreadWorld::publishVmList() {
   nlohmann::json Vms = nlohmann::json::array();
-  for (const auto &[Name, Each] : this->Nodes)
+  for (const auto &[Name, Each] : this->Nodes) {
+    if (this->Unlisted.contains(Name))
+      continue;
     Vms.push_back({{"name", Name},
                    {"address", Each.Listed.Ip.str()},
                    {"domain", Each.Listed.Domain.str()},
                    {"service", "s"},
                    {"state", "live"}});
+  }
   const uint64_t Number = ++this->Revision;
   this->Fresh.Values[VmListName] = {
       nlohmann::json{{"revision", Number}, {"vms", Vms}}.dump(), Number};
@@ -399,7 +444,7 @@
   const auto Answer = [this, &Read](std::function<void(Node &)> Work) {
     this->toNode(Read.Node, Read.Life, PlatformDelay, std::move(Work));
   };
-  if (this->Down) {
+  if (this->Down || this->Refused.contains(Read.Node)) {
     Answer([this, Kind = Read.Kind](Node &To) {
       To.Decisions->onPlatformFailed(Kind, this->Now);
     });
--- a/tests/support/spreadworld.h
+++ b/tests/support/spreadworld.h
@@ -67,6 +67,8 @@
   void publish(uint64_t Number, const std::string &What,
                const std::string &Hold);
   void publishVmList();
+  std::vector<Address> seeds() const;
+  SpreadPolicy firstPolicy() const;
   void run(Duration Length);
   void at(TimePoint When, std::function<void()> Work);
   void toNode(const std::string &Name, uint64_t Life, Duration Delay,
@@ -97,6 +99,14 @@
   uint64_t LastLife = 0;
   uint64_t Reads = 0;
   bool Down = false;
+  bool Exact = false;
+
+  /** Nodes that the list lacks. */
+  std::set<std::string> Unlisted;
+
+  /** Nodes that the platform refuses. */
+  std::set<std::string> Refused;
+
   bool Stale = false;
   bool Alternate = false;
   bool Turn = false;
