Requests that wait leave a target that has left the list

Its entry was removed without ever saying draining, so its node went on starting requests that had waited for 2.8 s behind slow ones.

Ruled out: late news of the list; it was applied 0.5 s after the removal.

A target that was listed beside a node and is not any more counts as one that drains. The test found a second cause of lost work: an exchange chose its second upstream from the list of its arrival, so requests handed back could not go to a target that had joined meanwhile, and got 503. Attempts now use the newest list.

Red first: platformpath requests_that_wait_leave_a_target_that_leaves, for both ways of leaving.

--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -120,21 +120,27 @@
     this->Origin.setSnapshot(New);
     this->Target.setSnapshot(New);
     const ServiceEntry *Own = New->findService(this->Service);
-    this->ListedLeaving = false;
     if (Own != nullptr) {
+      this->ListedLeaving = this->leavesOwn(*Own);
       if (!Own->Effective.ProbePath.empty())
         this->Probe.setPath(Own->Effective.ProbePath);
       this->Probe.setPeriod(Own->Effective.ProbePeriod);
       if (Own->Effective.ProbePeriod == Duration::zero())
         this->TargetState = MemberState::Serving;
-      for (const Vm &Each : Own->Upstreams)
-        if (Each.Name == this->Self.Name &&
-            Each.Target == this->Target.target())
-          this->ListedLeaving = Each.Leaving;
     }
     this->updateState();
   }
 
+  /** Returns whether the target beside this node leaves, or has left. */
+  bool leavesOwn(const ServiceEntry &Own) const {
+    const TargetId &Target = this->Target.target();
+    for (const Vm &Each : Own.Upstreams)
+      if (Each.Name == this->Self.Name && Each.Target == Target)
+        return Each.Leaving;
+    // Some targets leave by no longer being listed.
+    return !Target.empty();
+  }
+
   void onTargetState(MemberState State) {
     this->TargetState = State;
     this->updateState();
@@ -223,7 +229,7 @@
   MemberState TargetState = MemberState::Starting;
   std::shared_ptr<const Snapshot> Current;
 
-  /** The platform is about to take this VM away. */
+  /** The platform is about to take this VM away, or has unlisted it. */
   bool ListedLeaving = false;
 
   StopPlan Stop;
--- a/src/plugins/routing/exchange.cpp
+++ b/src/plugins/routing/exchange.cpp
@@ -63,8 +63,8 @@
                                             .Deadline = this->Options.Deadline,
                                             .Bytes = this->Options.Bytes},
                                            this->Tried, Now)
-                       : Router::ownerOf(*this->Options.Service,
-                                         this->Options.IdempotencyKey);
+                       : this->Routes.ownerOf(*this->Options.Service,
+                                              this->Options.IdempotencyKey);
   if (Next == nullptr && !this->Active.empty())
     return {};
   if (Next == nullptr)
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -92,7 +92,7 @@
   const Policy &Rules = *Request.Rules;
   std::vector<Candidate> Healthy;
   std::vector<Candidate> Ejected;
-  for (const Vm &Each : Request.Service->Upstreams) {
+  for (const Vm &Each : this->upstreamsOf(*Request.Service)) {
     const UpstreamView *View = this->find(Each.id());
     if (View == nullptr || contains(Excluded, Each.id()) || !View->takesWork())
       continue;
@@ -113,14 +113,20 @@
   return Healthy[Chooser.choose(Healthy, this->Random)].Upstream;
 }
 
-const Vm *Router::ownerOf(const ServiceEntry &Service, const std::string &Key) {
-  const auto Owner =
-      std::max_element(Service.Upstreams.begin(), Service.Upstreams.end(),
-                       [&Key](const Vm &A, const Vm &B) {
-                         return rendezvousWeight(Key, A.Name.str()) <
-                                rendezvousWeight(Key, B.Name.str());
-                       });
-  return Owner == Service.Upstreams.end() ? nullptr : &*Owner;
+const std::vector<Vm> &Router::upstreamsOf(const ServiceEntry &Service) const {
+  const ServiceEntry *Newest = this->Current->findService(Service.Name);
+  return Newest == nullptr ? Service.Upstreams : Newest->Upstreams;
+}
+
+const Vm *Router::ownerOf(const ServiceEntry &Service,
+                          const std::string &Key) const {
+  const std::vector<Vm> &Upstreams = this->upstreamsOf(Service);
+  const auto Owner = std::max_element(
+      Upstreams.begin(), Upstreams.end(), [&Key](const Vm &A, const Vm &B) {
+        return rendezvousWeight(Key, A.Name.str()) <
+               rendezvousWeight(Key, B.Name.str());
+      });
+  return Owner == Upstreams.end() ? nullptr : &*Owner;
 }
 
 void Router::onSent(const UpstreamId &Id, TimePoint Now) {
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -73,7 +73,7 @@
                  std::span<const UpstreamId> Excluded, TimePoint Now);
 
   /** Returns the upstream that owns \a Key; null for a service without any. */
-  static const Vm *ownerOf(const ServiceEntry &Service, const std::string &Key);
+  const Vm *ownerOf(const ServiceEntry &Service, const std::string &Key) const;
 
   void onSent(const UpstreamId &Id, TimePoint Now);
 
@@ -92,6 +92,9 @@
                       const PlacedRequest &Request, TimePoint Now) const;
   Balancer &balancer(const std::string &Name) const;
 
+  /** Returns the upstreams of the newest list, which may have changed since. */
+  const std::vector<Vm> &upstreamsOf(const ServiceEntry &Service) const;
+
   VmName Self;
   std::mt19937_64 Random;
   std::shared_ptr<const Snapshot> Current;
--- a/tests/process/platformpath_test.py
+++ b/tests/process/platformpath_test.py
@@ -1,6 +1,7 @@
 """The path from the platform's store to the nodes, on real processes."""
 
 import sys
+import threading
 
 import harness
 from meshfleet import *  # pylint: disable=wildcard-import
@@ -125,6 +126,39 @@
         assert len(fleet.runs(fleet.vms[1])) == before
 
 
+def test_requests_that_wait_leave_a_target_that_leaves():
+    for how in ("draining", "removed"):
+        with mesh(65, [("north", "shop"), ("south", "shop")],
+                  timeout="9000ms", targetLatency="6000ms") as fleet:
+            leaving, other = fleet.vms
+            for each in fleet.vms:
+                fleet.knobs(each, work_ms=2500)
+            fleet.store("delete", key=f"servers/{other.instance}")
+            assert fleet.wait_listed(1) is not None
+            answers = {}
+
+            def call(number):
+                answers[number] = exchange(leaving.outbound, request_bytes(
+                    "GET", "/shop/x", [("Connection", "close")],
+                    request_id=f"id-{number}", remaining=9000), wait=9)
+            threads = [threading.Thread(target=call, args=(number,))
+                       for number in range(8)]
+            for each in threads:
+                each.start()
+            assert wait_until(lambda: len(fleet.runs(leaving)) == 4,
+                              2) is not None
+            fleet.publish_entry(other)
+            if how == "draining":
+                fleet.publish_entry(leaving, "draining")
+            else:
+                fleet.store("delete", key=f"servers/{leaving.instance}")
+            for each in threads:
+                each.join()
+            assert len(fleet.runs(leaving)) == 4, how
+            assert [status_of(answers[number]) for number in range(8)] == \
+                [200] * 8, (how, answers)
+
+
 def test_entries_of_other_writers_name_no_target():
     with mesh(55) as fleet:
         vm = fleet.vms[0]
