A node that returns with an earlier time of day is believed

Cause: what a node says is ordered by its start, taken from the time of day. After a jump back the announcements of the new process looked older than 'draining' or 'gone' of the one before, and peers dropped them in silence.

A peer that knows of a later start tells the node, which then counts its own start above that and says again what it is. A node also announces itself once it has a list, so that peers need not wait for a digest.

--- a/src/plugins/membership/membership.cpp
+++ b/src/plugins/membership/membership.cpp
@@ -58,6 +58,12 @@
   return true;
 }
 
+const MemberAnnouncement *
+Membership::laterLife(const MemberAnnouncement &Announced) const {
+  const MemberAnnouncement *Known = this->find(Announced.Name);
+  return Known != nullptr && Known->Life > Announced.Life ? Known : nullptr;
+}
+
 const MemberAnnouncement *Membership::find(const VmName &Name) const {
   if (Name == this->OwnState.Name)
     return &this->OwnState;
--- a/src/plugins/membership/membership.h
+++ b/src/plugins/membership/membership.h
@@ -32,6 +32,13 @@
    */
   bool merge(const MemberAnnouncement &Announced);
 
+  /**
+   * Returns what is known of a node that seems to have started later than
+   * \a Announced says, or null. A time of day that went back causes that.
+   */
+  const MemberAnnouncement *
+  laterLife(const MemberAnnouncement &Announced) const;
+
   /** Returns the newest announcement of \a Name, or null. */
   const MemberAnnouncement *find(const VmName &Name) const;
 
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -341,6 +341,10 @@
     return;
   this->audit(AuditKind::StateChanged, ItemKind::VmList, VersionId(), "self",
               memberStateName(State));
+  this->announceOwn(Now);
+}
+
+void Spread::announceOwn(TimePoint Now) {
   this->forwardAnnouncements({this->Members.own()}, Address());
   for (const Address &Root : this->roots())
     this->Actions.emplace_back(
@@ -358,9 +362,20 @@
 }
 
 bool Spread::mergeAnnouncement(const MemberAnnouncement &Announced,
-                               const Address &From) {
+                               const Address &From, TimePoint Now) {
   if (Announced.Name.empty())
     return false;
+  if (Announced.Name == this->Options.Self) {
+    if (this->Members.merge(Announced))
+      this->announceOwn(Now);
+    return false;
+  }
+  if (const MemberAnnouncement *Later = this->Members.laterLife(Announced)) {
+    if (const Vm *Announcer = this->Nodes.findByName(Announced.Name))
+      this->Actions.emplace_back(
+          SendControl{Announcer->Ip, AnnouncementsMessage{{*Later}}});
+    return false;
+  }
   const MemberAnnouncement *Known = this->Members.find(Announced.Name);
   const bool Changes = Known == nullptr || Known->State != Announced.State;
   if (!this->Members.merge(Announced))
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -156,8 +156,8 @@
   void onTransfer(const Address &From, const TransferMessage &Message,
                   TimePoint Now);
   void onPull(const Address &From, const PullMessage &Message, TimePoint Now);
-  void onAnnouncements(const Address &From,
-                       const AnnouncementsMessage &Message);
+  void onAnnouncements(const Address &From, const AnnouncementsMessage &Message,
+                       TimePoint Now);
 
   void takeConfigManifest(const std::string &Text, TimePoint Now);
   void takeVmList(const std::string &Text, TimePoint Now);
@@ -180,7 +180,8 @@
   forwardAnnouncements(const std::vector<MemberAnnouncement> &Announcements,
                        const Address &From);
   bool mergeAnnouncement(const MemberAnnouncement &Announced,
-                         const Address &From);
+                         const Address &From, TimePoint Now);
+  void announceOwn(TimePoint Now);
 
   void pollBoot(TimePoint Now);
   void pollExactBoot(TimePoint Now);
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -51,7 +51,7 @@
     this->stream(Busy->Kind).Pulls.onBusy(From, *Busy, Now);
   else if (const auto *Announcements =
                std::get_if<AnnouncementsMessage>(&Message))
-    this->onAnnouncements(From, *Announcements);
+    this->onAnnouncements(From, *Announcements, Now);
 }
 
 void Spread::onOffer(const Address &From, const OfferMessage &Message,
@@ -116,10 +116,11 @@
 }
 
 void Spread::onAnnouncements(const Address &From,
-                             const AnnouncementsMessage &Message) {
+                             const AnnouncementsMessage &Message,
+                             TimePoint Now) {
   std::vector<MemberAnnouncement> News;
   for (const MemberAnnouncement &Announced : Message.Announcements)
-    if (this->mergeAnnouncement(Announced, From))
+    if (this->mergeAnnouncement(Announced, From, Now))
       News.push_back(Announced);
   if (!News.empty())
     this->forwardAnnouncements(News, From);
@@ -137,9 +138,9 @@
     this->EmptySeed = Now;
 
   this->HoldUntil = std::min(this->HoldUntil, Now);
-  this->mergeAnnouncement(Message.Sender, From);
+  this->mergeAnnouncement(Message.Sender, From, Now);
   for (const MemberAnnouncement &Announced : Message.News)
-    this->mergeAnnouncement(Announced, From);
+    this->mergeAnnouncement(Announced, From, Now);
   if (this->Schedule.onHeard(Message.Read, Now))
     this->tellChildren(Now);
   this->compareVersions(From, Message, Now);
@@ -231,6 +232,7 @@
   if (HasConfig && HasList) {
     this->Boot.settle();
     this->settle("has a version and a list", Now);
+    this->announceOwn(Now);
     return;
   }
   if (Now >= this->NextAsk) {
--- a/tests/support/spreadworld.cpp
+++ b/tests/support/spreadworld.cpp
@@ -87,9 +87,9 @@
                                     .Ip = Address(Ip),
                                     .Domain = FailureDomain(Words[2]),
                                     .Service = ServiceName("s")};
-  } else if (Verb == "start") {
+  } else if (Verb == "start" || Verb == "start-clock-back") {
     for (Node *Each : this->chosen(Words[1]))
-      this->start(*Each);
+      this->start(*Each, Verb == "start-clock-back");
   } else if (Verb == "kill") {
     for (Node *Each : this->chosen(Words[1]))
       Each->Decisions.reset();
@@ -206,7 +206,8 @@
                " times");
 }
 
-void SpreadWorld::start(Node &Target) {
+void SpreadWorld::start(Node &Target, bool ClockBack) {
+  const uint64_t Before = Target.Life;
   Target.Life = ++this->LastLife;
   Target.Held.clear();
   Target.Frozen = false;
@@ -218,7 +219,7 @@
       SpreadOptions{.Mesh = "m",
                     .Self = Target.Listed.Name,
                     .Domain = Domain,
-                    .Life = Incarnation(Target.Life),
+                    .Life = Incarnation(ClockBack ? Before - 1 : Target.Life),
                     .Ip = Target.Listed.Ip,
                     .Seeds = this->Exact ? this->seeds()
                                          : std::vector<Address>(),
--- a/tests/support/spreadworld.h
+++ b/tests/support/spreadworld.h
@@ -63,7 +63,7 @@
   void execute(const std::vector<std::string> &Words);
   void executePlatform(const std::vector<std::string> &Words);
   void expect(const std::vector<std::string> &Words);
-  void start(Node &Target);
+  void start(Node &Target, bool ClockBack);
   void publish(uint64_t Number, const std::string &What,
                const std::string &Hold);
   void publishVmList();
