Time also passes while a machine is suspended

Cause: all deadlines were counted on a clock that stands still during a suspension, so a request that was read before it would have been handed on with time that its caller no longer has, and the pause went unnoticed.

The kernel has one Clock, of the time since boot; its timers are relative.

--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -2,14 +2,29 @@
 #define BLUEBELLBARROW_KERNEL_CLOCK_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace bluebellbarrow {
 
-/** Monotonic time; decisions receive it as an argument and never read it. */
-using TimePoint = std::chrono::steady_clock::time_point;
+/**
+ * Time since the machine started, which also passes while it is suspended and
+ * never goes back. Thread safety: safe.
+ */
+struct Clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
 
-/** A span of monotonic time. */
-using Duration = std::chrono::steady_clock::duration;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+};
+
+/** A moment; decisions receive it as an argument and never read the clock. */
+using TimePoint = Clock::time_point;
+
+using Duration = Clock::duration;
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -208,7 +208,7 @@
   if (!enabled(Level))
     return;
   LogState &Log = state();
-  const TimePoint Now = std::chrono::steady_clock::now();
+  const TimePoint Now = Clock::now();
   uint64_t Suppressed = 0;
   {
     const std::lock_guard<std::mutex> Lock(Log.Mutex);
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -53,7 +53,7 @@
   lws_vhost *vhost() const { return this->Vhost; }
 
   /** Returns the current time. */
-  static TimePoint now() { return std::chrono::steady_clock::now(); }
+  static TimePoint now() { return Clock::now(); }
 
   /** Returns the queue of this task's timers. */
   TimerQueue &timers() const { return *this->Timers; }
--- a/src/kernel/timer.cpp
+++ b/src/kernel/timer.cpp
@@ -11,17 +11,17 @@
 
 namespace {
 
-timespec toTimespec(TimePoint Time) {
+timespec toTimespec(Duration Span) {
   constexpr int64_t NanosPerSecond = 1000000000;
-  const int64_t Nanos = std::max<int64_t>(
-      1, std::chrono::nanoseconds(Time.time_since_epoch()).count());
+  const int64_t Nanos =
+      std::max<int64_t>(1, std::chrono::nanoseconds(Span).count());
   return {.tv_sec = Nanos / NanosPerSecond, .tv_nsec = Nanos % NanosPerSecond};
 }
 
 } // namespace
 
 TimerQueue::TimerQueue(Task &Owner)
-    : Clock(std::make_unique<Descriptor>(
+    : Alarm(std::make_unique<Descriptor>(
           Owner, timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC),
           DescriptorEvents{.Readable = [this] { this->fire(); },
                            .Writable = nullptr,
@@ -44,13 +44,13 @@
     return;
   this->Armed = this->Waiting.begin()->first.first;
   itimerspec Setting{};
-  Setting.it_value = toTimespec(this->Armed);
-  timerfd_settime(this->Clock->number(), TFD_TIMER_ABSTIME, &Setting, nullptr);
+  Setting.it_value = toTimespec(this->Armed - Task::now());
+  timerfd_settime(this->Alarm->number(), 0, &Setting, nullptr);
 }
 
 void TimerQueue::fire() {
   uint64_t Expirations = 0;
-  if (read(this->Clock->number(), &Expirations, sizeof(Expirations)) < 0)
+  if (read(this->Alarm->number(), &Expirations, sizeof(Expirations)) < 0)
     return;
   this->Armed = TimePoint::max();
   const TimePoint Now = Task::now();
--- a/src/kernel/timer.h
+++ b/src/kernel/timer.h
@@ -43,7 +43,7 @@
 
   std::map<Id, std::function<void()>> Waiting;
   uint64_t LastNumber = 0;
-  std::unique_ptr<Descriptor> Clock;
+  std::unique_ptr<Descriptor> Alarm;
 
   /** Time for which the descriptor is set. */
   TimePoint Armed = TimePoint::max();
