A fuzz program for everything that reads bytes from outside

Parsers of requests and answers, frames, datagrams, compressed bodies, the platform's answers, its configuration and targets, branches and settings; the same bytes must mean the same however they are cut. 300,000 seeded inputs run with the tests.

--- /dev/null
+++ b/tests/process/fuzz_test.py
@@ -0,0 +1,21 @@
+"""Random bytes for everything that reads bytes from outside."""
+
+import subprocess
+import sys
+
+import harness
+from fleet import BUILD
+
+SEED = 20261204
+INPUTS = 300000
+
+
+def test_no_input_breaks_a_reader():
+    done = subprocess.run(
+        [BUILD / "tests/fuzz", "--seed", str(SEED), "--inputs", str(INPUTS)],
+        capture_output=True, text=True, timeout=120, check=False)
+    assert done.returncode == 0, done.stderr[-2000:]
+
+
+if __name__ == "__main__":
+    harness.main(sys.modules[__name__])
