Histograms of times, samples of what was served, lines for a lost platform

Cause: the metrics had no latency histograms, lines of served requests were never written, and an outage of the platform left no line.

--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -161,6 +161,30 @@
     flushLog();
 }
 
+void writeEvent(LogLevel Level, const char *Event, uint32_t PerSecond,
+                std::initializer_list<LogField> Fields) {
+  if (!enabled(Level))
+    return;
+  LogState &Log = state();
+  const TimePoint Now = Clock::now();
+  uint64_t Suppressed = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(Log.Mutex);
+    RateLimit &Limit =
+        Log.Limits.try_emplace(Event, PerSecond, Now).first->second;
+    if (!Limit.allow(Now))
+      return;
+    Suppressed = Limit.takeSuppressed();
+  }
+  LineBuilder Line(Level, Log.Options.Json);
+  Line.add({"event", Event});
+  for (const LogField &Each : Fields)
+    Line.add(Each);
+  if (Suppressed > 0)
+    Line.add({"suppressed", Suppressed});
+  write(Level, Line.finish());
+}
+
 } // namespace
 
 void initLog(const LogOptions &Options) {
@@ -205,27 +229,11 @@
 
 void logEvent(LogLevel Level, const char *Event,
               std::initializer_list<LogField> Fields) {
-  if (!enabled(Level))
-    return;
-  LogState &Log = state();
-  const TimePoint Now = Clock::now();
-  uint64_t Suppressed = 0;
-  {
-    const std::lock_guard<std::mutex> Lock(Log.Mutex);
-    RateLimit &Limit =
-        Log.Limits.try_emplace(Event, Log.Options.EventsPerSecond, Now)
-            .first->second;
-    if (!Limit.allow(Now))
-      return;
-    Suppressed = Limit.takeSuppressed();
-  }
-  LineBuilder Line(Level, Log.Options.Json);
-  Line.add({"event", Event});
-  for (const LogField &Each : Fields)
-    Line.add(Each);
-  if (Suppressed > 0)
-    Line.add({"suppressed", Suppressed});
-  write(Level, Line.finish());
+  writeEvent(Level, Event, state().Options.EventsPerSecond, Fields);
+}
+
+void logSample(const char *Event, std::initializer_list<LogField> Fields) {
+  writeEvent(LogLevel::Info, Event, state().Options.SamplesPerSecond, Fields);
 }
 
 } // namespace bluebellbarrow
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -67,6 +67,9 @@
 
   /** Events of one kind that are written in a second; more are counted. */
   uint32_t EventsPerSecond = 50;
+
+  /** The same for samples of what goes well. */
+  uint32_t SamplesPerSecond = 5;
 };
 
 /** Opens the log. \pre called before the first record. */
@@ -99,6 +102,12 @@
 void logEvent(LogLevel Level, const char *Event,
               std::initializer_list<LogField> Fields);
 
+/**
+ * Records an event that is usual, so that a few of them in a second tell
+ * enough; otherwise as logEvent().
+ */
+void logSample(const char *Event, std::initializer_list<LogField> Fields);
+
 } // namespace bluebellbarrow
 
 #endif // BLUEBELLBARROW_KERNEL_LOG_H
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -355,20 +355,26 @@
 void OriginCalls::logEnd(const Call &Of, const char *Outcome, int Status,
                          const std::string &Reason) const {
   const TimePoint Now = Task::now();
-  const LogLevel Level = Reason.empty() ? LogLevel::Debug : LogLevel::Info;
-  logEvent(Level, Reason.empty() ? "call answered" : "call failed",
-           {{"request", this->requestId(Of.Message.Call)},
-            {"service", Of.Message.Service.str()},
-            {"route", Of.Message.Route.str()},
-            {"upstream", Of.Upstream.Name.str()},
-            {"target", Of.Upstream.Target.str()},
-            {"attempts", Of.Decisions->attempts()},
-            {"outcome", Outcome},
-            {"status", Status},
-            {"reason", Reason},
-            {"took_us", toMicroseconds(Now - Of.Began)},
-            {"left_ms", toMilliseconds(Of.Deadline - Now)},
-            {"version", this->Current->Version.text()}});
+  this->Counters.observe(Metric::RequestTime, Outcome, Now - Of.Began);
+  // Fields only refer to their texts.
+  const std::string Version = this->Current->Version.text();
+  const std::initializer_list<LogField> Fields = {
+      {"request", this->requestId(Of.Message.Call)},
+      {"service", Of.Message.Service.str()},
+      {"route", Of.Message.Route.str()},
+      {"upstream", Of.Upstream.Name.str()},
+      {"target", Of.Upstream.Target.str()},
+      {"attempts", Of.Decisions->attempts()},
+      {"outcome", Outcome},
+      {"status", Status},
+      {"reason", Reason},
+      {"took_us", toMicroseconds(Now - Of.Began)},
+      {"left_ms", toMilliseconds(Of.Deadline - Now)},
+      {"version", Version}};
+  if (Reason.empty())
+    logSample("call answered", Fields);
+  else
+    logEvent(LogLevel::Info, "call failed", Fields);
 }
 
 void OriginCalls::onAttempt(RequestNumber Number,
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -207,7 +207,8 @@
   this->Calls[Key] = {.Message = Message,
                       .Deadline = Deadline,
                       .To = std::move(To),
-                      .KeyName = KeyName};
+                      .KeyName = KeyName,
+                      .Arrived = Now};
   if (NotReady != nullptr) {
     this->refuse(Key, NotReady);
     return;
@@ -263,6 +264,7 @@
     this->refuse(Key, "no connection slot");
     return;
   }
+  this->Counters.observe(Metric::WaitTime, "", Now - Started.Arrived);
   Started.Running = true;
   Started.Started = Now;
   Started.Slot = this->Target->call(this->targetRequest(Started, Now),
@@ -329,9 +331,11 @@
     this->Gate.onFinished(Key, Now);
   }
   const auto Found = this->Calls.find(Key);
-  if (Found != this->Calls.end())
-    Message.RunMicros =
-        static_cast<uint32_t>(toMicroseconds(Now - Found->second.Started));
+  if (Found != this->Calls.end()) {
+    const Duration Took = Now - Found->second.Started;
+    Message.RunMicros = static_cast<uint32_t>(toMicroseconds(Took));
+    this->Counters.observe(Metric::RunTime, endEvent(Message.Result), Took);
+  }
   this->end(Key, std::move(Message));
   this->runQueue(Now);
 }
@@ -339,20 +343,23 @@
 void UpstreamCalls::logEnd(const RequestKey &Key, const Call &Of,
                            const ReplyMessage &Message) const {
   const std::string &IdHeader = this->Dialect.names().RequestId;
-  const LogLevel Level =
-      Message.Result == Outcome::Answered ? LogLevel::Debug : LogLevel::Info;
-  logEvent(Level, endEvent(Message.Result),
-           {{"request", headerValue(Of.Message.Call.Headers, IdHeader)},
-            {"origin", Key.Origin.str()},
-            {"route", Of.Message.Route.str()},
-            {"target", this->Listed.str()},
-            {"reason", Message.Reason},
-            {"status", Message.Answer.Status},
-            {"run_us", Message.RunMicros},
-            {"left_ms", toMilliseconds(Of.Deadline - Task::now())},
-            {"running", this->Gate.running()},
-            {"queued", this->Gate.queued()},
-            {"retry_after_us", Message.RetryAfterMicros}});
+  const char *Event = endEvent(Message.Result);
+  const std::initializer_list<LogField> Fields = {
+      {"request", headerValue(Of.Message.Call.Headers, IdHeader)},
+      {"origin", Key.Origin.str()},
+      {"route", Of.Message.Route.str()},
+      {"target", this->Listed.str()},
+      {"reason", Message.Reason},
+      {"status", Message.Answer.Status},
+      {"run_us", Message.RunMicros},
+      {"left_ms", toMilliseconds(Of.Deadline - Task::now())},
+      {"running", this->Gate.running()},
+      {"queued", this->Gate.queued()},
+      {"retry_after_us", Message.RetryAfterMicros}};
+  if (Message.Result == Outcome::Answered)
+    logSample(Event, Fields);
+  else
+    logEvent(LogLevel::Info, Event, Fields);
 }
 
 UpstreamCalls::Call UpstreamCalls::take(const RequestKey &Key) {
--- a/src/plugins/http/upstreamcalls.h
+++ b/src/plugins/http/upstreamcalls.h
@@ -85,6 +85,7 @@
     TimePoint Deadline;
     CallSink To;
     std::string KeyName;
+    TimePoint Arrived;
     TimePoint Started;
     size_t Slot = 0;
     bool Running = false;
--- a/src/plugins/metrics/metrics.cpp
+++ b/src/plugins/metrics/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -12,49 +13,63 @@
 
 namespace {
 
+enum class MetricKind { Counter, Gauge, Histogram };
+
+/** Upper bounds of the ranges that a histogram counts, in seconds. */
+const prometheus::Histogram::BucketBoundaries TimeBounds = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
 struct Definition {
   Metric Which;
   const char *Name;
   const char *Label;
-  bool IsCounter;
+  MetricKind Kind;
   const char *Help;
 };
 
-constexpr std::array<Definition, 17> Definitions = {{
-    {Metric::VersionNumber, "bluebellbarrow_version_number", "kind", false,
-     "Number of the version in force"},
+constexpr std::array<Definition, 20> Definitions = {{
+    {Metric::VersionNumber, "bluebellbarrow_version_number", "kind",
+     MetricKind::Gauge, "Number of the version in force"},
     {Metric::VersionSince, "bluebellbarrow_version_applied_seconds", "kind",
-     false, "Unix time at which the version came into force"},
-    {Metric::PlatformAge, "bluebellbarrow_platform_age_seconds", "", false,
+     MetricKind::Gauge, "Unix time at which the version came into force"},
+    {Metric::PlatformAge, "bluebellbarrow_platform_age_seconds", "",
+     MetricKind::Gauge,
      "Age of the last good read of the platform known here; -1 for none"},
-    {Metric::Incarnation, "bluebellbarrow_incarnation", "", false,
+    {Metric::Incarnation, "bluebellbarrow_incarnation", "", MetricKind::Gauge,
      "Identity of this life of the process"},
     {Metric::ControlBytesOut, "bluebellbarrow_control_sent_bytes_total",
-     "cause", true, "Bytes sent for control, without IP and TCP headers"},
+     "cause", MetricKind::Counter,
+     "Bytes sent for control, without IP and TCP headers"},
     {Metric::ControlBytesIn, "bluebellbarrow_control_received_bytes_total",
-     "cause", true, "Bytes received for control"},
+     "cause", MetricKind::Counter, "Bytes received for control"},
     {Metric::PlatformReads, "bluebellbarrow_platform_reads_total", "result",
-     true, "Requests to the platform"},
-    {Metric::Requests, "bluebellbarrow_requests_total", "outcome", true,
-     "Calls of callers by how they ended"},
-    {Metric::Attempts, "bluebellbarrow_attempts_total", "kind", true,
-     "Attempts at upstreams"},
-    {Metric::Refused, "bluebellbarrow_refused_total", "reason", true,
-     "Requests that this node kept from its target"},
-    {Metric::RetryBudget, "bluebellbarrow_retry_budget", "service", false,
-     "Retries that may be made at once"},
-    {Metric::SlotsUsed, "bluebellbarrow_slots_used", "", false,
+     MetricKind::Counter, "Requests to the platform"},
+    {Metric::Requests, "bluebellbarrow_requests_total", "outcome",
+     MetricKind::Counter, "Calls of callers by how they ended"},
+    {Metric::Attempts, "bluebellbarrow_attempts_total", "kind",
+     MetricKind::Counter, "Attempts at upstreams"},
+    {Metric::Refused, "bluebellbarrow_refused_total", "reason",
+     MetricKind::Counter, "Requests that this node kept from its target"},
+    {Metric::RetryBudget, "bluebellbarrow_retry_budget", "service",
+     MetricKind::Gauge, "Retries that may be made at once"},
+    {Metric::SlotsUsed, "bluebellbarrow_slots_used", "", MetricKind::Gauge,
      "Requests running at the target"},
-    {Metric::QueueLength, "bluebellbarrow_queue_length", "", false,
+    {Metric::QueueLength, "bluebellbarrow_queue_length", "", MetricKind::Gauge,
      "Requests waiting for a slot"},
-    {Metric::Malformed, "bluebellbarrow_malformed_total", "listener", true,
-     "Connections closed for what came over them"},
-    {Metric::Pauses, "bluebellbarrow_pauses_total", "task", true,
+    {Metric::Malformed, "bluebellbarrow_malformed_total", "listener",
+     MetricKind::Counter, "Connections closed for what came over them"},
+    {Metric::Pauses, "bluebellbarrow_pauses_total", "task", MetricKind::Counter,
      "Times that the process did not run for a while"},
-    {Metric::Ejected, "bluebellbarrow_ejected_upstreams", "", false,
+    {Metric::Ejected, "bluebellbarrow_ejected_upstreams", "", MetricKind::Gauge,
      "Upstreams left out for their failures"},
-    {Metric::Conflicts, "bluebellbarrow_version_conflicts_total", "", true,
-     "Version numbers that were given twice"},
+    {Metric::Conflicts, "bluebellbarrow_version_conflicts_total", "",
+     MetricKind::Counter, "Version numbers that were given twice"},
+    {Metric::RequestTime, "bluebellbarrow_request_seconds", "outcome",
+     MetricKind::Histogram, "Time from a caller's request to its answer"},
+    {Metric::WaitTime, "bluebellbarrow_wait_seconds", "", MetricKind::Histogram,
+     "Time that requests waited for a slot of the target"},
+    {Metric::RunTime, "bluebellbarrow_run_seconds", "outcome",
+     MetricKind::Histogram, "Time that the target took"},
 }};
 
 prometheus::Labels labelsOf(const Definition &Of, const std::string &Label) {
@@ -69,18 +84,30 @@
   prometheus::Registry Registry;
   std::map<Metric, prometheus::Family<prometheus::Counter> *> Counters;
   std::map<Metric, prometheus::Family<prometheus::Gauge> *> Gauges;
+  std::map<Metric, prometheus::Family<prometheus::Histogram> *> Histograms;
 };
 
 Metrics::Metrics() : Impl(std::make_unique<Families>()) {
+  prometheus::Registry &Registry = this->Impl->Registry;
   for (const Definition &Each : Definitions) {
-    if (Each.IsCounter)
+    switch (Each.Kind) {
+    case MetricKind::Counter:
       this->Impl->Counters[Each.Which] =
           &prometheus::BuildCounter().Name(Each.Name).Help(Each.Help).Register(
-              this->Impl->Registry);
-    else
+              Registry);
+      break;
+    case MetricKind::Gauge:
       this->Impl->Gauges[Each.Which] =
           &prometheus::BuildGauge().Name(Each.Name).Help(Each.Help).Register(
-              this->Impl->Registry);
+              Registry);
+      break;
+    case MetricKind::Histogram:
+      this->Impl->Histograms[Each.Which] = &prometheus::BuildHistogram()
+                                                .Name(Each.Name)
+                                                .Help(Each.Help)
+                                                .Register(Registry);
+      break;
+    }
   }
 }
 
@@ -96,6 +123,14 @@
   this->Impl->Gauges.at(Which)->Add(labelsOf(Of, Label)).Set(Value);
 }
 
+void Metrics::observe(Metric Which, const std::string &Label, Duration Time) {
+  const Definition &Of = Definitions.at(static_cast<size_t>(Which));
+  const std::chrono::duration<double> Seconds = Time;
+  this->Impl->Histograms.at(Which)
+      ->Add(labelsOf(Of, Label), TimeBounds)
+      .Observe(Seconds.count());
+}
+
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(this->Impl->Registry.Collect());
 }
--- a/src/plugins/metrics/metrics.h
+++ b/src/plugins/metrics/metrics.h
@@ -1,6 +1,8 @@
 #ifndef BLUEBELLBARROW_METRICS_METRICS_H
 #define BLUEBELLBARROW_METRICS_METRICS_H
 
+#include "kernel/clock.h"
+
 #include <memory>
 #include <string>
 
@@ -25,6 +27,9 @@
   Pauses,
   Ejected,
   Conflicts,
+  RequestTime,
+  WaitTime,
+  RunTime,
 };
 
 /**
@@ -43,6 +48,9 @@
   /** Sets a gauge. */
   void set(Metric Which, const std::string &Label, double Value);
 
+  /** Adds a time to a histogram. */
+  void observe(Metric Which, const std::string &Label, Duration Time);
+
   /** Returns every metric as text. */
   std::string text() const;
 
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -224,6 +224,16 @@
     this->carryOut();
   }
 
+  /** Logs when the platform was lost for the fleet, and when it is back. */
+  void reportPlatform(std::optional<Duration> Age, TimePoint Now) {
+    const bool Away = this->Decisions.readSchedule().isAway(Now);
+    if (!Age || Away == this->PlatformAway)
+      return;
+    this->PlatformAway = Away;
+    logEvent(LogLevel::Warning, Away ? "platform is away" : "platform is back",
+             {{"good_read_age_ms", toMilliseconds(*Age)}});
+  }
+
   void publishStatus() {
     const TimePoint Now = Task::now();
     this->NextStatus = Now + StatusPeriod;
@@ -239,6 +249,7 @@
                          .Settled = this->Decisions.settled(),
                          .Rank = this->Decisions.topology().rank(),
                          .Nodes = this->Decisions.topology().size()};
+    this->reportPlatform(Status.PlatformAge, Now);
     const std::chrono::duration<double> Age =
         Status.PlatformAge.value_or(-seconds(1));
     Metrics &Counters = this->Context.Counters;
@@ -262,6 +273,10 @@
   PauseDetector Pauses;
   Timer Tick;
   TimePoint NextStatus;
+
+  /** What the log said last of the platform. */
+  bool PlatformAway = false;
+
   std::chrono::system_clock::time_point AppliedAt;
 };
 
