A reader says when its read fails; urgent requests keep some slots free

The platform began to refuse the node that reads and those next in place. Its waiting read ended without news, which counted as a good read, and the others waited for that age, one step after the other: 2.8 s.

Ruled out: lost pushes (all nodes got it within 40 ms of the first); counting a good read from its start (the age at rest would be that of a takeover).

A digest says when the sender's own reads have failed; the next node in place then reads at once.

--- a/src/plugins/admission/admission.cpp
+++ b/src/plugins/admission/admission.cpp
@@ -23,9 +23,10 @@
 Admission::Admission(AdmissionLimits Limits)
     : Limits(Limits), Seen(SeenMemory) {}
 
-bool Admission::maySlot(TimePoint Now) const {
+bool Admission::mayStart(int64_t Priority, TimePoint Now) const {
   return !this->Draining && Now >= this->Hold &&
-         this->Running.size() < this->Limits.Slots;
+         this->Running.size() + this->Reserve.against(Priority, Now) <
+             this->Limits.Slots;
 }
 
 Duration Admission::startOf(const WaitingRequest *Request,
@@ -43,7 +44,12 @@
     Free.push_back(Duration::zero());
   for (const Duration Work : this->Line.workAhead(Request, Now))
     *std::min_element(Free.begin(), Free.end()) += Work;
-  return *std::min_element(Free.begin(), Free.end());
+  const size_t LeftFree =
+      Request == nullptr ? 0 : this->Reserve.against(Request->Priority, Now);
+  const auto Start = Free.begin() + static_cast<ptrdiff_t>(
+                                        std::min(LeftFree, Free.size() - 1));
+  std::nth_element(Free.begin(), Start, Free.end());
+  return *Start;
 }
 
 Duration Admission::expectedWait(const WaitingRequest &Request,
@@ -68,17 +74,45 @@
   return {.What = Admitted::Refuse, .Reason = Reason, .RetryAfter = RetryAfter};
 }
 
+AdmitResult Admission::turnAway(const WaitingRequest &Request,
+                                const std::string &Reason, Duration RetryAfter,
+                                TimePoint Now) {
+  this->Reserve.onTurnedAway(Request.Priority, Now);
+  return this->refuse(Request.Key, Reason, RetryAfter, Now);
+}
+
+void Admission::giveUp(const WaitingRequest &Request, const char *Reason,
+                       TimePoint Now) {
+  this->Seen.set(Request.Key, SeenState::NotRun, Now);
+  this->GivenUp.push_back(
+      {.Key = Request.Key, .Start = false, .Reason = Reason});
+}
+
+bool Admission::makeRoom(const WaitingRequest &Request, TimePoint Now) {
+  if (this->Line.size() < this->Limits.Queue)
+    return true;
+  if (this->Line.empty())
+    return false;
+  const WaitingRequest Last = this->Line.last(Now);
+  if (Last.Priority <= Request.Priority)
+    return false;
+  this->Line.remove(Last.Key);
+  this->Reserve.onTurnedAway(Last.Priority, Now);
+  this->giveUp(Last, "more urgent requests wait", Now);
+  return true;
+}
+
 AdmitResult Admission::judgeWait(const WaitingRequest &Request, TimePoint Now) {
   const Duration Wait = this->expectedWait(Request, Now);
-  if (this->Line.size() >= this->Limits.Queue)
-    return this->refuse(Request.Key, "queue is full", Wait, Now);
   const auto Longest = std::chrono::duration_cast<Duration>(
       (Request.Deadline - Now - Request.Work) * LateWaitShare);
   const bool InTime = Now + Wait + Request.Work <= Request.Aim;
-  if (InTime || Wait <= Longest)
-    return {.What = Admitted::Queue, .Reason = {}};
-  return this->refuse(Request.Key, "would wait too long",
-                      Wait - std::max(Longest, Duration::zero()), Now);
+  if (!InTime && Wait > Longest)
+    return this->turnAway(Request, "would wait too long",
+                          Wait - std::max(Longest, Duration::zero()), Now);
+  if (!this->makeRoom(Request, Now))
+    return this->turnAway(Request, "queue is full", Wait, Now);
+  return {.What = Admitted::Queue, .Reason = {}};
 }
 
 AdmitResult Admission::admit(const AdmissionRequest &Request, TimePoint Now) {
@@ -96,17 +130,19 @@
   const Duration Work = this->Works.of(Request.Route, Request.RouteAim).Mean;
   if (Now + Work > this->Closing)
     return this->refuse(Key, "node stops", Duration::zero(), Now);
-  if (this->Line.empty() && this->maySlot(Now)) {
-    this->Overtaking.add(Request.Priority, Work, Now);
-    this->start(Key, Request.Route, Work, Now);
-    return {.What = Admitted::Start, .Reason = {}};
-  }
+  this->Reserve.onAsked(Request.Priority, this->Limits.Slots, Now);
   WaitingRequest Waiting{.Key = Key,
                          .Route = Request.Route,
                          .Priority = Request.Priority,
                          .Aim = Request.Aim,
                          .Deadline = Request.Deadline,
                          .Work = Work};
+  if (this->mayStart(Request.Priority, Now) &&
+      this->Line.workAhead(&Waiting, Now).empty()) {
+    this->Overtaking.add(Request.Priority, Work, Now);
+    this->start(Key, Request.Route, Work, Now);
+    return {.What = Admitted::Start, .Reason = {}};
+  }
   AdmitResult Result = this->judgeWait(Waiting, Now);
   if (Result.What != Admitted::Queue)
     return Result;
@@ -154,17 +190,18 @@
 }
 
 std::vector<Dequeued> Admission::poll(TimePoint Now) {
-  std::vector<Dequeued> Left;
-  const std::vector<WaitingRequest> GivenUp =
+  const std::vector<WaitingRequest> Hopeless =
       this->Draining ? this->Line.takeAll() : this->Line.takeHopeless(Now);
-  for (const WaitingRequest &Each : GivenUp) {
-    this->Seen.set(Each.Key, SeenState::NotRun, Now);
-    Left.push_back(
-        {.Key = Each.Key,
-         .Start = false,
-         .Reason = this->Draining ? "target is draining" : "deadline is over"});
+  for (const WaitingRequest &Each : Hopeless) {
+    if (!this->Draining)
+      this->Reserve.onTurnedAway(Each.Priority, Now);
+    this->giveUp(
+        Each, this->Draining ? "target is draining" : "deadline is over", Now);
   }
-  while (!this->Line.empty() && this->maySlot(Now)) {
+  std::vector<Dequeued> Left;
+  Left.swap(this->GivenUp);
+  while (!this->Line.empty() &&
+         this->mayStart(this->Line.first(Now).Priority, Now)) {
     const WaitingRequest Next = this->Line.takeFirst(Now);
     this->start(Next.Key, Next.Route, Next.Work, Now);
     Left.push_back({.Key = Next.Key, .Start = true, .Reason = {}});
--- a/src/plugins/admission/admission.h
+++ b/src/plugins/admission/admission.h
@@ -5,6 +5,7 @@
 #include "plugins/peer/peermessages.h"
 #include "plugins/routing/workestimate.h"
 #include "seenrequests.h"
+#include "slotreserve.h"
 #include "waitingline.h"
 
 #include <string>
@@ -130,10 +131,14 @@
 
   void start(const RequestKey &Key, const RouteName &Route, Duration Expected,
              TimePoint Now);
-  bool maySlot(TimePoint Now) const;
+  bool mayStart(int64_t Priority, TimePoint Now) const;
   Duration startOf(const WaitingRequest *Request, TimePoint Now) const;
   Duration expectedWait(const WaitingRequest &Request, TimePoint Now) const;
   AdmitResult judgeWait(const WaitingRequest &Request, TimePoint Now);
+  bool makeRoom(const WaitingRequest &Request, TimePoint Now);
+  AdmitResult turnAway(const WaitingRequest &Request, const std::string &Reason,
+                       Duration RetryAfter, TimePoint Now);
+  void giveUp(const WaitingRequest &Request, const char *Reason, TimePoint Now);
   AdmitResult refuse(const RequestKey &Key, const std::string &Reason,
                      Duration RetryAfter, TimePoint Now);
 
@@ -142,6 +147,11 @@
   WaitingLine Line;
   WorkEstimate Works;
   AdmittedWork Overtaking;
+  SlotReserve Reserve;
+
+  /** Requests that left the line unserved; poll() returns them. */
+  std::vector<Dequeued> GivenUp;
+
   std::vector<Started> Running;
   bool Draining = false;
   TimePoint Hold;
--- a/src/plugins/admission/admittedwork.h
+++ b/src/plugins/admission/admittedwork.h
@@ -1,7 +1,7 @@
 #ifndef BLUEBELLBARROW_ADMISSION_ADMITTEDWORK_H
 #define BLUEBELLBARROW_ADMISSION_ADMITTEDWORK_H
 
-#include "kernel/clock.h"
+#include "fadingsum.h"
 
 #include <cstdint>
 #include <map>
@@ -26,15 +26,8 @@
   double rateBefore(int64_t Priority, bool AndSame, TimePoint Now) const;
 
 private:
-  /** A sum of seconds of work that fades with time. */
-  struct Fading {
-    double Sum = 0;
-    TimePoint Last;
-  };
-
-  static double faded(const Fading &Of, TimePoint Now);
-
-  std::map<int64_t, Fading> Ranks;
+  /** Seconds of work of each rank. */
+  std::map<int64_t, FadingSum> Ranks;
 };
 
 } // namespace bluebellbarrow
--- /dev/null
+++ b/src/plugins/admission/fadingsum.h
@@ -0,0 +1,41 @@
+#ifndef BLUEBELLBARROW_ADMISSION_FADINGSUM_H
+#define BLUEBELLBARROW_ADMISSION_FADINGSUM_H
+
+#include "kernel/clock.h"
+
+#include <cmath>
+
+namespace bluebellbarrow {
+
+/**
+ * A sum whose parts count less the older they are.
+ *
+ * Thread safety: none.
+ */
+class FadingSum {
+public:
+  /** Seconds in which a part fades to 1/e. */
+  static constexpr double FadeSeconds = 1.0;
+
+  /** Returns what is left after \a Age of something that counted 1. */
+  static double left(Duration Age) {
+    const std::chrono::duration<double> Seconds = Age;
+    return std::exp(-Seconds.count() / FadeSeconds);
+  }
+
+  void add(double Part, TimePoint Now) {
+    this->Sum = this->at(Now) + Part;
+    this->Last = Now;
+  }
+
+  /** Returns the sum at \a Now. \pre \a Now is not before the last add(). */
+  double at(TimePoint Now) const { return this->Sum * left(Now - this->Last); }
+
+private:
+  double Sum = 0;
+  TimePoint Last;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_ADMISSION_FADINGSUM_H
--- /dev/null
+++ b/src/plugins/admission/slotreserve.h
@@ -0,0 +1,54 @@
+#ifndef BLUEBELLBARROW_ADMISSION_SLOTRESERVE_H
+#define BLUEBELLBARROW_ADMISSION_SLOTRESERVE_H
+
+#include "fadingsum.h"
+
+#include <cstdint>
+#include <map>
+
+namespace bluebellbarrow {
+
+/**
+ * Keeps some of a target's slots free of less urgent requests, while urgent
+ * ones are turned away although the order of waiting favours them: a run is
+ * never interrupted, so a request with little time finds every slot held by
+ * long runs. Nothing is kept while nothing urgent is turned away, nor from
+ * ranks that are hardly served any more.
+ *
+ * Load pattern: for seconds more work than slots, short urgent requests (or
+ * calls of targets) beside long ones. Method: trunk reservation of telephone
+ * networks, adjusted by what is turned away.
+ * A decision object. Thread safety: none; owned by one task.
+ */
+class SlotReserve {
+public:
+  /** A request of \a Priority came, for a target with \a Slots. */
+  void onAsked(int64_t Priority, size_t Slots, TimePoint Now);
+
+  /** A request of \a Priority was refused for what runs and waits. */
+  void onTurnedAway(int64_t Priority, TimePoint Now);
+
+  /** Returns the slots that a request of \a Priority must leave free. */
+  size_t against(int64_t Priority, TimePoint Now) const;
+
+private:
+  struct Rank {
+    FadingSum Asked;
+    FadingSum TurnedAway;
+
+    /** Slots that less urgent requests leave free. */
+    double Reserved = 0;
+
+    TimePoint LastAsked;
+  };
+
+  /** Share of requests that were turned away. */
+  static double lostShare(double TurnedAway, double Asked);
+  double lostShareAfter(int64_t Priority, TimePoint Now) const;
+
+  std::map<int64_t, Rank> Ranks;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_ADMISSION_SLOTRESERVE_H
--- a/src/plugins/admission/waitingline.cpp
+++ b/src/plugins/admission/waitingline.cpp
@@ -21,14 +21,25 @@
          }) > 0;
 }
 
+const WaitingRequest &WaitingLine::first(TimePoint Now) const {
+  return *std::min_element(
+      this->Waiting.begin(), this->Waiting.end(),
+      [Now](const WaitingRequest &A, const WaitingRequest &B) {
+        return startsBefore(A, B, Now);
+      });
+}
+
+const WaitingRequest &WaitingLine::last(TimePoint Now) const {
+  return *std::max_element(
+      this->Waiting.begin(), this->Waiting.end(),
+      [Now](const WaitingRequest &A, const WaitingRequest &B) {
+        return startsBefore(A, B, Now);
+      });
+}
+
 WaitingRequest WaitingLine::takeFirst(TimePoint Now) {
-  const auto First =
-      std::min_element(this->Waiting.begin(), this->Waiting.end(),
-                       [Now](const WaitingRequest &A, const WaitingRequest &B) {
-                         return startsBefore(A, B, Now);
-                       });
-  WaitingRequest Taken = std::move(*First);
-  this->Waiting.erase(First);
+  WaitingRequest Taken = this->first(Now);
+  this->remove(Taken.Key);
   return Taken;
 }
 
--- a/src/plugins/admission/waitingline.h
+++ b/src/plugins/admission/waitingline.h
@@ -50,6 +50,12 @@
   /** Removes \a Key; returns false when it does not wait. */
   bool remove(const RequestKey &Key);
 
+  /** Returns the one that starts first. \pre not empty(). */
+  const WaitingRequest &first(TimePoint Now) const;
+
+  /** Returns the one that starts last. \pre not empty(). */
+  const WaitingRequest &last(TimePoint Now) const;
+
   /** Removes and returns the one that starts first. \pre not empty(). */
   WaitingRequest takeFirst(TimePoint Now);
 
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -212,8 +212,20 @@
                                static_cast<double>(Result.Text.size()));
   }
 
+  /** Logs when this node's own reads begin to fail, and when they work. */
+  void reportReads(ItemKind Kind, const ReadResult &Result) {
+    const bool Failed = Result.End == ReadEnd::Failed;
+    if (Failed == this->ReadsFail)
+      return;
+    this->ReadsFail = Failed;
+    logEvent(LogLevel::Warning,
+             Failed ? "platform read failed" : "platform reads work again",
+             {{"item", itemKindName(Kind)}, {"cause", Result.Cause}});
+  }
+
   void onRead(ItemKind Kind, const ReadResult &Result) {
     this->countRead(Result);
+    this->reportReads(Kind, Result);
     const TimePoint Now = Task::now();
     if (Result.End == ReadEnd::Value)
       this->Decisions.onPlatformValue(Kind, Result.Revision, Result.Text, Now);
@@ -276,6 +288,7 @@
 
   /** What the log said last of the platform. */
   bool PlatformAway = false;
+  bool ReadsFail = false;
 
   std::chrono::system_clock::time_point AppliedAt;
 };
--- a/src/plugins/spread/readschedule.cpp
+++ b/src/plugins/spread/readschedule.cpp
@@ -73,6 +73,11 @@
     this->Heard[News.SenderPlace] = Now;
     if (this->Heard.size() > MaxHeard)
       this->Heard.erase(std::prev(this->Heard.end()));
+    this->Failed.erase(News.SenderPlace);
+    if (News.FailedAge != UnknownAge)
+      this->Failed[News.SenderPlace] = Now - milliseconds(News.FailedAge);
+    if (this->Failed.size() > MaxHeard)
+      this->Failed.erase(std::prev(this->Failed.end()));
   }
   if (News.ReaderAge != UnknownAge)
     this->takeReader(
@@ -118,7 +123,8 @@
   this->NotBefore = Now;
 }
 
-void ReadSchedule::onFailedRead(TimePoint Now) {
+bool ReadSchedule::onFailedRead(TimePoint Now) {
+  const bool Awaited = this->isReader() || this->Reading;
   this->OwnTry = Now;
   const int Doublings = std::min(this->Failures, MaxDoublings);
   this->Failures += 1;
@@ -128,11 +134,23 @@
   const Duration Backoff =
       std::min<Duration>(FirstBackoff * (1 << Doublings), Longest);
   this->NotBefore = Now + scaled(Backoff, (1 + this->Jitter) / 2);
+  return Awaited;
+}
+
+bool ReadSchedule::hasFailed(size_t Place) const {
+  const auto Known = this->Failed.find(Place);
+  return Known != this->Failed.end() &&
+         (!this->Good || Known->second >= *this->Good);
+}
+
+bool ReadSchedule::readerHasFailed() const {
+  return this->Best && this->hasFailed(this->Best->Place);
 }
 
 bool ReadSchedule::standsAside(TimePoint Now) const {
   return this->Best && this->Best->Place < this->Place &&
-         Now - this->Best->Good <= this->Options.Base;
+         Now - this->Best->Good <= this->Options.Base &&
+         !this->readerHasFailed();
 }
 
 int64_t ReadSchedule::betterPlacedHeard(TimePoint Now) const {
@@ -141,7 +159,8 @@
       this->Heard.begin(), this->Heard.end(), [&](const auto &Each) {
         // Those that always read have failed when the last read is old.
         return Each.first >= Readers && Each.first < this->Place &&
-               Now - Each.second <= PresenceTime;
+               Now - Each.second <= PresenceTime &&
+               !this->hasFailed(Each.first);
       });
 }
 
@@ -153,8 +172,10 @@
 
 Duration ReadSchedule::limit(TimePoint Now) const {
   const int64_t Better = std::min(this->betterPlacedHeard(Now), MaxWaitedFor);
-  const Duration Turn = this->Options.Base + this->Options.Step * Better;
   const Duration Spread = scaled(this->fleetShare(), this->Jitter);
+  const bool AtOnce = this->Failures == 0 && this->readerHasFailed();
+  const Duration Base = AtOnce ? Duration::zero() : this->Options.Base;
+  const Duration Turn = Base + this->Options.Step * Better;
   return this->Failures > 0 ? Turn + this->fleetShare() + Spread
                             : Turn + Spread;
 }
@@ -171,6 +192,8 @@
   TimePoint Last = std::max(this->Started, this->Good.value_or(this->Started));
   if (this->Failures > 0)
     Last = std::max(Last, this->OwnTry);
+  else if (this->readerHasFailed())
+    Last = std::max(Last, this->Failed.at(this->Best->Place));
   this->Reading = this->Reading || Now - Last > this->limit(Now);
   return this->Reading;
 }
@@ -186,6 +209,8 @@
   ReadNews News{.SenderPlace = static_cast<uint16_t>(this->Place)};
   if (this->Good)
     News.GoodAge = ageInMilliseconds(*this->Good, Now);
+  if (this->Failures > 0)
+    News.FailedAge = ageInMilliseconds(this->OwnTry, Now);
   if (this->Best) {
     News.ReaderPlace = static_cast<uint16_t>(this->Best->Place);
     News.ReaderAge = ageInMilliseconds(this->Best->Good, Now);
--- a/src/plugins/spread/readschedule.h
+++ b/src/plugins/spread/readschedule.h
@@ -31,7 +31,8 @@
  * failure domains take turns; the first ones read all the time. Each node
  * hears how old the last good read is, and reads itself when that is too old
  * and no better-placed node that it can hear has done so. A node that hears
- * nobody reads without further delay.
+ * nobody reads without further delay. A reader whose read fails says so, and
+ * the next one need not wait for the age.
  *
  * Thread safety: none; owned by one task.
  */
@@ -58,8 +59,11 @@
   /** The platform has answered. */
   void onGoodRead(TimePoint Now);
 
-  /** A read failed; the node waits longer after each. */
-  void onFailedRead(TimePoint Now);
+  /**
+   * A read failed; the node waits longer after each. Returns true when others
+   * should hear of it at once, since they may wait for this node.
+   */
+  bool onFailedRead(TimePoint Now);
 
   /** Decides whether this node should read, or go on reading. */
   bool shouldRead(TimePoint Now);
@@ -88,6 +92,8 @@
 private:
   bool standsAside(TimePoint Now) const;
   bool isReader() const;
+  bool hasFailed(size_t Place) const;
+  bool readerHasFailed() const;
   int64_t betterPlacedHeard(TimePoint Now) const;
   Duration limit(TimePoint Now) const;
   Duration fleetShare() const;
@@ -119,6 +125,9 @@
   /** When nodes were heard last, by place. */
   std::map<size_t, TimePoint> Heard;
 
+  /** When reads of other nodes failed that have not worked since. */
+  std::map<size_t, TimePoint> Failed;
+
   TimePoint OwnTry;
   TimePoint Started;
   TimePoint LastAsk;
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -106,6 +106,10 @@
   if (Before && *Before < this->Tuning.ReadBase / 3)
     return;
   this->tellChildren(Now);
+  this->tellNextReaders(Now);
+}
+
+void Spread::tellNextReaders(TimePoint Now) {
   for (const Address &Root : this->roots())
     this->sendDigest(Root, DigestPurpose::ReadNews, Now);
   // Those that would read next learn of it even when the tree has a gap.
@@ -128,7 +132,8 @@
   Read.InFlight = false;
   Read.LastGood = false;
   this->delayRead(Read, Now);
-  this->Schedule.onFailedRead(Now);
+  if (this->Schedule.onFailedRead(Now))
+    this->tellNextReaders(Now);
 }
 
 void Spread::delayRead(Watch &Read, TimePoint Now) {
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -170,6 +170,9 @@
   void onGoodRead(TimePoint Now);
   void tellChildren(TimePoint Now);
 
+  /** Tells those that would read next how old the last read is. */
+  void tellNextReaders(TimePoint Now);
+
   /** Returns the first nodes of the domains, without this one. */
   std::vector<Address> roots() const;
 
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -47,8 +47,12 @@
   /** Milliseconds since the last good read of any node. */
   uint32_t GoodAge = 0xffffffff;
 
+  /** The same since the sender's own read failed; none after a good one. */
+  uint32_t FailedAge = 0xffffffff;
+
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->SenderPlace, this->ReaderPlace, this->ReaderAge, this->GoodAge);
+    Ar(this->SenderPlace, this->ReaderPlace, this->ReaderAge, this->GoodAge,
+       this->FailedAge);
   }
 };
 
--- a/tests/support/spreadworld.cpp
+++ b/tests/support/spreadworld.cpp
@@ -139,7 +139,8 @@
   } else if (Verb == "vmlist") {
     this->Unlisted = {Words.begin() + 1, Words.end()};
     this->publishVmList();
-  } else if (Verb == "refuse") {
+  } else if (Verb == "refuse" || Verb == "refuse-quietly") {
+    this->RefusesQuietly = Verb == "refuse-quietly";
     for (const Node *Each : this->chosen(Words[1]))
       this->Refused.insert(Each->Listed.Name.str());
   } else if (Verb == "serve") {
@@ -445,7 +446,9 @@
   const auto Answer = [this, &Read](std::function<void(Node &)> Work) {
     this->toNode(Read.Node, Read.Life, PlatformDelay, std::move(Work));
   };
-  if (this->Down || this->Refused.contains(Read.Node)) {
+  const bool Refuses = this->Refused.contains(Read.Node);
+  const bool EndsQuietly = Refuses && this->RefusesQuietly && Read.Waited;
+  if (this->Down || (Refuses && !EndsQuietly)) {
     Answer([this, Kind = Read.Kind](Node &To) {
       To.Decisions->onPlatformFailed(Kind, this->Now);
     });
@@ -454,7 +457,7 @@
   const Replica &From = Read.Stale ? this->Old : this->Fresh;
   const auto Found = From.Values.find(
       Read.Kind == ItemKind::Config ? ManifestName : VmListName);
-  if (Found != From.Values.end() &&
+  if (!EndsQuietly && Found != From.Values.end() &&
       Found->second.Revision > Read.ChangedSince) {
     Answer([this, Kind = Read.Kind, Shown = Found->second](Node &To) {
       To.Decisions->onPlatformValue(Kind, Shown.Revision, Shown.Text,
@@ -464,6 +467,7 @@
   }
   if (!Final) {
     this->Watches.push_back(Read);
+    this->Watches.back().Waited = true;
     return;
   }
   Answer([this, Kind = Read.Kind](Node &To) {
--- a/tests/support/spreadworld.h
+++ b/tests/support/spreadworld.h
@@ -58,6 +58,9 @@
     uint64_t ChangedSince = 0;
     TimePoint Until;
     bool Stale = false;
+
+    /** It waited before; a platform that refuses may let it end. */
+    bool Waited = false;
   };
 
   void execute(const std::vector<std::string> &Words);
@@ -107,6 +110,9 @@
   /** Nodes that the platform refuses. */
   std::set<std::string> Refused;
 
+  /** Watches of refused nodes end without news in place of failing. */
+  bool RefusesQuietly = false;
+
   bool Stale = false;
   bool Alternate = false;
   bool Turn = false;
