--- a/tests/kernel/tcpconnection_test.cpp
+++ b/tests/kernel/tcpconnection_test.cpp
@@ -34,6 +34,7 @@
     getsockname(this->Number, reinterpret_cast<sockaddr *>(&Place), &Length);
     this->Port = ntohs(Place.sin_port);
   }
+
   ~Listener() { close(this->Number); }
 
   int Number;
