--- a/src/plugins/admission/slotreserve.cpp
+++ b/src/plugins/admission/slotreserve.cpp
@@ -1,6 +1,7 @@
 #include "slotreserve.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bluebellbarrow {
 
@@ -57,7 +58,7 @@
     if (Each < Priority)
       Reserved =
           std::max(Reserved, Of.Reserved * FadingSum::left(Now - Of.LastAsked));
-  return static_cast<size_t>(Reserved + 0.5);
+  return static_cast<size_t>(std::lround(Reserved));
 }
 
 } // namespace bluebellbarrow
--- a/tests/kernel/tcpconnection_test.cpp
+++ b/tests/kernel/tcpconnection_test.cpp
@@ -28,8 +28,9 @@
     inet_pton(AF_INET, Loopback.c_str(), &Place.sin_addr);
     setsockopt(this->Number, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
                sizeof(ReceiveBufferBytes));
-    bind(this->Number, reinterpret_cast<sockaddr *>(&Place), sizeof(Place));
-    listen(this->Number, 1);
+    (void)bind(this->Number, reinterpret_cast<sockaddr *>(&Place),
+               sizeof(Place));
+    (void)listen(this->Number, 1);
     socklen_t Length = sizeof(Place);
     getsockname(this->Number, reinterpret_cast<sockaddr *>(&Place), &Length);
     this->Port = ntohs(Place.sin_port);
@@ -44,7 +45,7 @@
 /** Accepts one connection and reads it to its end; returns the bytes. */
 size_t readToEnd(const Listener &From) {
   const int Socket = accept(From.Number, nullptr, nullptr);
-  std::array<char, 16 * 1024> Buffer{};
+  std::array<char, size_t{16} * 1024> Buffer{};
   size_t Total = 0;
   ssize_t Length = 0;
   while ((Length = recv(Socket, Buffer.data(), Buffer.size(), 0)) > 0)
