Lines of one step are bounded in a second, as events are

Cause: lines of the audit trail had no rate; with 67 nodes 11,374 lines of 'vm-list state' came in 10 s, each node telling of every other one, and a larger fleet would write more.

logRecord() counts what is over the rate by step and says so in the next line.

--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -20,6 +20,7 @@
 #include <ctime>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <unistd.h>
 
 namespace bluebellbarrow {
@@ -66,7 +67,7 @@
   Logger Source;
   boost::shared_ptr<logging::sinks::synchronous_sink<LineBackend>> Sink;
   std::mutex Mutex;
-  std::map<const char *, RateLimit> Limits;
+  std::map<std::string, RateLimit, std::less<>> Limits;
 };
 
 LogState &state() {
@@ -161,28 +162,40 @@
     flushLog();
 }
 
+/**
+ * Returns how many lines of \a Kind were left out since the last one; nothing
+ * when this one is left out as well.
+ */
+std::optional<uint64_t> takeTurn(std::string_view Kind, uint32_t PerSecond) {
+  LogState &Log = state();
+  const TimePoint Now = Clock::now();
+  const std::lock_guard<std::mutex> Lock(Log.Mutex);
+  auto Found = Log.Limits.find(Kind);
+  if (Found == Log.Limits.end())
+    Found = Log.Limits.try_emplace(std::string(Kind), PerSecond, Now).first;
+  if (!Found->second.allow(Now))
+    return std::nullopt;
+  return Found->second.takeSuppressed();
+}
+
+void finish(LogLevel Level, LineBuilder &Line, uint64_t Suppressed) {
+  if (Suppressed > 0)
+    Line.add({"suppressed", Suppressed});
+  write(Level, Line.finish());
+}
+
 void writeEvent(LogLevel Level, const char *Event, uint32_t PerSecond,
                 std::initializer_list<LogField> Fields) {
   if (!enabled(Level))
     return;
-  LogState &Log = state();
-  const TimePoint Now = Clock::now();
-  uint64_t Suppressed = 0;
-  {
-    const std::lock_guard<std::mutex> Lock(Log.Mutex);
-    RateLimit &Limit =
-        Log.Limits.try_emplace(Event, PerSecond, Now).first->second;
-    if (!Limit.allow(Now))
-      return;
-    Suppressed = Limit.takeSuppressed();
-  }
-  LineBuilder Line(Level, Log.Options.Json);
+  const std::optional<uint64_t> Suppressed = takeTurn(Event, PerSecond);
+  if (!Suppressed)
+    return;
+  LineBuilder Line(Level, state().Options.Json);
   Line.add({"event", Event});
   for (const LogField &Each : Fields)
     Line.add(Each);
-  if (Suppressed > 0)
-    Line.add({"suppressed", Suppressed});
-  write(Level, Line.finish());
+  finish(Level, Line, *Suppressed);
 }
 
 } // namespace
@@ -209,7 +222,12 @@
                const std::string &Text) {
   if (!enabled(Level))
     return;
-  LineBuilder Line(Level, state().Options.Json);
+  const LogOptions &Options = state().Options;
+  const std::optional<uint64_t> Suppressed =
+      takeTurn(Context.Step, Options.EventsPerSecond);
+  if (!Suppressed)
+    return;
+  LineBuilder Line(Level, Options.Json);
   const std::array<LogField, 4> Fields = {{{"step", Context.Step},
                                            {"peer", Context.Peer},
                                            {"version", Context.Version},
@@ -218,7 +236,7 @@
     if (!Each.text().empty())
       Line.add(Each);
   Line.add({"text", Text});
-  write(Level, Line.finish());
+  finish(Level, Line, *Suppressed);
 }
 
 void logError(LogLevel Level, const Error &Failure) {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -86,7 +86,10 @@
  */
 void flushLog();
 
-/** Records one line. Thread safety: safe. */
+/**
+ * Records one line. Lines of one step over the rate are counted, as those of
+ * an event are. Thread safety: safe.
+ */
 void logRecord(LogLevel Level, const LogContext &Context,
                const std::string &Text);
 
--- /dev/null
+++ b/tests/kernel/log_test.cpp
@@ -0,0 +1,45 @@
+#include "kernel/log.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <array>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+using namespace bluebellbarrow; // NOLINT: test
+
+namespace {
+
+/** Returns what a pipe holds. */
+std::string readAll(int Pipe) {
+  std::string Text;
+  std::array<char, 4096> Buffer{};
+  ssize_t Length = 0;
+  while ((Length = read(Pipe, Buffer.data(), Buffer.size())) > 0)
+    Text.append(Buffer.data(), static_cast<size_t>(Length));
+  return Text;
+}
+
+} // namespace
+
+// Each node of a large fleet announces its state within a second.
+Test(log, lines_of_one_step_are_bounded) {
+  std::array<int, 2> Pipe{};
+  cr_assert_eq(pipe2(Pipe.data(), O_NONBLOCK), 0);
+  dup2(Pipe[1], STDERR_FILENO);
+  constexpr int PerSecond = 10;
+  initLog({.Json = true, .EventsPerSecond = PerSecond});
+  for (int Number = 0; Number < 300; ++Number)
+    logRecord(LogLevel::Info, {.Step = "vm-list state", .Peer = "10.0.0.1"},
+              std::to_string(Number));
+  logRecord(LogLevel::Info, {.Step = "config applied"}, "last");
+  flushLog();
+
+  const std::string Text = readAll(Pipe[0]);
+  const auto Lines = std::count(Text.begin(), Text.end(), '\n');
+  cr_expect_geq(Lines, PerSecond);
+  cr_expect_leq(Lines, 2 * PerSecond + 1, "%d lines", static_cast<int>(Lines));
+  cr_expect(Text.find("config applied") != std::string::npos);
+}
