Nodes with thin links and small cores read the platform last; no read from long ago

New lines "platform reads begin/end" show why: newcomers with 0.1 core and 5 Mbit/s come to the first place in the order one after the other, read everything (180 KB and more), fail after 600 ms ("no answer in time", 26 nodes in 5 s), and the next one does the same. A node that takes over asked for all changes since its own last read: each version of a storm, whole. Besides, places of an older list made the reader stand aside after each change of the list, and the random wait of takeovers grew with the fleet (0.61 s at 61 nodes) for the best-placed too.

Ruled out: a node that is down (all listed ones lived), the store (it served the wide nodes all the while), the push tree (targets knew 100 ms after a read).

Changed: - nodes announce when a whole read takes them long (settings of the VM's core and link); these come last in the order of readers (ReadOrder) - readers are known by name in digests, not by a place in some list - the first eight in the order take turns by place, without a random wait - after 2.5 s without a read everything is read anew, not the changes - of several versions in one answer only the last is parsed - a read that goes on part by part is not given up after 600 ms

--- a/src/kernel/httpclient.cpp
+++ b/src/kernel/httpclient.cpp
@@ -16,6 +16,9 @@
 /** Share of the server's idle time after which a connection is not reused. */
 constexpr double IdleShare = 0.8;
 
+/** Time that an answer may take which arrives part by part. */
+constexpr Duration LongestAnswer = seconds(10);
+
 /** First status of a final answer; those below announce one. */
 constexpr int FirstFinalStatus = 200;
 
@@ -52,6 +55,7 @@
   /** Value that the answer must repeat. */
   std::string Echo;
 
+  TimePoint Began;
   TimePoint IdleUntil;
   TimePoint LastUse;
 
@@ -121,6 +125,7 @@
   const size_t Index = this->chooseSlot(Now);
   Slot &Target = *this->Slots[Index];
   Target.OnDone = std::move(OnDone);
+  Target.Began = Now;
   Target.Bytes = requestBytes(Request);
   Target.Echo = headerValue(Request.Headers, this->Options.EchoedHeader);
   Target.Bodyless = Request.Method == "HEAD";
@@ -160,12 +165,19 @@
   Target.Bytes = std::string();
 }
 
+void HttpClient::extendLimit(Slot &Target) {
+  const Duration Stall = this->Options.StallTime;
+  if (Stall > Duration::zero() && Task::now() - Target.Began < LongestAnswer)
+    Target.Limit.start(Stall);
+}
+
 void HttpClient::receive(size_t Index, std::string_view Bytes) {
   Slot &Target = *this->Slots[Index];
   if (!Target.busy()) {
     Target.Connection.reset();
     return;
   }
+  this->extendLimit(Target);
   Target.Parser.feed(Bytes);
   while (Target.Parser.whole()) {
     const bool Interim = Target.Parser.response().Status < FirstFinalStatus;
--- a/src/kernel/httpclient.h
+++ b/src/kernel/httpclient.h
@@ -62,6 +62,12 @@
    */
   std::string EchoedHeader;
 
+  /**
+   * Time between two parts of an answer that has begun, in place of the time
+   * limit of its call; zero for none.
+   */
+  Duration StallTime{};
+
   /** Time for which a connection is kept when the server does not say. */
   Duration IdleTime = seconds(4);
 };
@@ -114,6 +120,7 @@
   void connect(size_t Index);
   void sendRequest(Slot &Target);
   void receive(size_t Index, std::string_view Bytes);
+  void extendLimit(Slot &Target);
   void onEnded(size_t Index, TcpEnd How);
   void onWhole(Slot &Target);
   bool isForeign(Slot &Target) const;
--- a/src/kernel/nodesettings.cpp
+++ b/src/kernel/nodesettings.cpp
@@ -15,7 +15,7 @@
 constexpr double MaxPort = 65535;
 constexpr double Second = 1e6;
 
-const std::array<KeySpec, 26> Keys = {{
+const std::array<KeySpec, 28> Keys = {{
     {"node", "mesh", KeyType::Text, 1, 63, "", "name of the mesh"},
     {"node", "name", KeyType::Text, 1, 63, "", "name of the VM"},
     {"node", "address", KeyType::Text, 1, 63, "", "IP number of the VM"},
@@ -47,6 +47,10 @@
      "IP number for operators"},
     {"listen", "ready", KeyType::Text, 0, 63, "",
      "IP:PORT that also answers /ready; empty for none"},
+    {"machine", "core-share", KeyType::Ratio, 0.001, 64, "1",
+     "part of a core that the process may use"},
+    {"machine", "link", KeyType::Ratio, 0.01, 1e6, "1000",
+     "rate of the VM's link in Mbit/s"},
     {"start", "seeds", KeyType::Text, 0, 190, "",
      "IP numbers of nodes to ask first, with commas"},
     {"start", "silence", KeyType::Span, 0, 60 * Second, "1 s",
@@ -186,6 +190,8 @@
       .Admin = {.Ip = Address(Text("listen/admin-address")),
                 .Port = Port("listen/admin")},
       .Ready = std::nullopt,
+      .Machine = {.Core = From["machine/core-share"].Base,
+                  .LinkMbps = From["machine/link"].Base},
       .Seeds = parseSeeds(Text("start/seeds")).value(),
       .BootSilence = Span("start/silence"),
       .LeaveTime = Span("stop/leave-time"),
--- a/src/kernel/nodesettings.h
+++ b/src/kernel/nodesettings.h
@@ -25,6 +25,15 @@
   double Base = 0;
 };
 
+/** What a VM grants the process. */
+struct MachineShare {
+  /** Part of a core. */
+  double Core = 1;
+
+  /** Rate of the link, in Mbit/s. */
+  double LinkMbps = 1000;
+};
+
 /** Settings of one process, from its INI file. */
 struct NodeSettings {
   std::string Mesh;
@@ -50,6 +59,9 @@
   /** A second place that answers whether the node is ready. */
   std::optional<Endpoint> Ready;
 
+  /** What the VM grants the process. */
+  MachineShare Machine;
+
   std::vector<Address> Seeds;
   Duration BootSilence{};
 
--- a/src/plugins/membership/memberannouncement.h
+++ b/src/plugins/membership/memberannouncement.h
@@ -36,10 +36,13 @@
 
   MemberState State = MemberState::Starting;
 
+  /** A whole read of the platform takes this node long. */
+  bool ReadsSlowly = false;
+
   /** Reads or writes the announcement with a cereal archive. */
   template <typename Archive> void serialize(Archive &Ar) {
     auto Raw = static_cast<uint8_t>(this->State);
-    Ar(this->Name, this->Life, this->Sequence, Raw);
+    Ar(this->Name, this->Life, this->Sequence, Raw, this->ReadsSlowly);
     this->State = static_cast<MemberState>(Raw);
   }
 };
--- a/src/plugins/platform/keyvaluesource.cpp
+++ b/src/plugins/platform/keyvaluesource.cpp
@@ -4,6 +4,13 @@
 
 namespace bluebellbarrow {
 
+namespace {
+
+/** Time without a read after which everything is read anew. */
+constexpr Duration LongestGap = milliseconds(2500);
+
+} // namespace
+
 KeyValueSource::KeyValueSource(const PlatformSourceOptions &Options,
                                std::unique_ptr<KeyValueStore> NewStore,
                                std::unique_ptr<StoreSchema> NewSchema)
@@ -70,6 +77,13 @@
   if (!Needed || this->InFlight)
     return;
   this->InFlight = true;
+  this->callStore(Wait);
+}
+
+void KeyValueSource::callStore(Duration Wait) {
+  // The changes since long ago may be many times what is there now.
+  if (this->Mirror.complete() && Task::now() - this->LastAnswer > LongestGap)
+    this->Mirror.beginPages();
   const auto OnAnswer = [this, Living = this->Alive](const StoreAnswer &Got) {
     if (*Living)
       this->onAnswer(Got);
@@ -82,6 +96,8 @@
 
 void KeyValueSource::onAnswer(const StoreAnswer &Answer) {
   this->InFlight = false;
+  if (Answer.End != StoreEnd::Failed)
+    this->LastAnswer = Task::now();
   if (Answer.End == StoreEnd::HistoryGone) {
     this->Mirror.beginPages();
     this->pump();
--- a/src/plugins/platform/keyvaluesource.h
+++ b/src/plugins/platform/keyvaluesource.h
@@ -39,6 +39,7 @@
   };
 
   void pump();
+  void callStore(Duration Wait);
   void onAnswer(const StoreAnswer &Answer);
   bool changedSince(const ReadPlatform &What) const;
   ReadResult valueOf(ItemKind Kind) const;
@@ -50,6 +51,10 @@
   StoreMirror Mirror;
   std::array<std::optional<Waiter>, ItemKindCount> Waiters;
   bool InFlight = false;
+
+  /** When the store answered last. */
+  TimePoint LastAnswer;
+
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/plugins/platform/storemirror.cpp
+++ b/src/plugins/platform/storemirror.cpp
@@ -45,11 +45,16 @@
 
 MirrorChange StoreMirror::onChanges(const StoreAnswer &Changes) {
   MirrorChange All;
-  for (const StoreItem &Item : Changes.Items) {
-    const MirrorChange Change = this->take(Item);
-    All.Config = All.Config || Change.Config;
-    All.Targets = All.Targets || Change.Targets;
-  }
+  for (const StoreItem &Item : Changes.Items)
+    if (this->Schema.classify(Item.Key) == StoreKey::Target)
+      All.Targets = this->takeTarget(Item) || All.Targets;
+  // The last version that can be read replaces those before it.
+  const auto IsTaken = [this](const StoreItem &Item) {
+    return this->Schema.classify(Item.Key) == StoreKey::Config &&
+           this->takeConfig(Item);
+  };
+  All.Config =
+      std::any_of(Changes.Items.rbegin(), Changes.Items.rend(), IsTaken);
   this->Position = std::max(this->Position, Changes.Revision);
   if (All.Targets)
     this->ListRevision = this->Position;
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -4,6 +4,7 @@
 #include "plugins/metrics/metrics.h"
 #include "plugins/nodeplugin.h"
 #include "plugins/platform/platformsource.h"
+#include "readcost.h"
 #include "spread.h"
 #include "versioncompiler.h"
 
@@ -87,6 +88,7 @@
             .BootSilence = Settings.BootSilence,
             .Seed = (static_cast<uint64_t>(Entropy()) << 32U) | Entropy(),
             .ExactPlatform = this->Platform->isExact(),
+            .ReadsSlowly = readsSlowly(Settings.Machine),
             .FirstPolicy = defaultsFrom(Settings.Overrides).Spread};
   }
 
@@ -126,6 +128,7 @@
       this->Decisions.onPaused(*Pause, Now);
     }
     this->Decisions.onTick(Now);
+    this->reportReader(Now);
     this->carryOut();
     if (Now >= this->NextStatus) {
       this->publishStatus();
@@ -246,6 +249,20 @@
              {{"good_read_age_ms", toMilliseconds(*Age)}});
   }
 
+  /** Logs when this node begins or ceases to be one that reads. */
+  void reportReader(TimePoint Now) {
+    const ReadSchedule &Schedule = this->Decisions.readSchedule();
+    if (Schedule.reads() == this->IsReader)
+      return;
+    this->IsReader = Schedule.reads();
+    logEvent(LogLevel::Info,
+             this->IsReader ? "platform reads begin" : "platform reads end",
+             {{"place", Schedule.place()},
+              {"nodes", this->Decisions.topology().size()},
+              {"good_read_age_ms",
+               toMilliseconds(Schedule.goodAge(Now).value_or(-seconds(1)))}});
+  }
+
   void publishStatus() {
     const TimePoint Now = Task::now();
     this->NextStatus = Now + StatusPeriod;
@@ -289,6 +306,7 @@
   /** What the log said last of the platform. */
   bool PlatformAway = false;
   bool ReadsFail = false;
+  bool IsReader = false;
 
   std::chrono::system_clock::time_point AppliedAt;
 };
--- /dev/null
+++ b/src/plugins/spread/readcost.h
@@ -0,0 +1,16 @@
+#ifndef BLUEBELLBARROW_SPREAD_READCOST_H
+#define BLUEBELLBARROW_SPREAD_READCOST_H
+
+#include "kernel/nodesettings.h"
+
+namespace bluebellbarrow {
+
+/**
+ * Returns whether reading everything from the platform takes a node with
+ * \a Machine so long that others should do it. Thread safety: safe.
+ */
+bool readsSlowly(const MachineShare &Machine);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_READCOST_H
--- /dev/null
+++ b/src/plugins/spread/readorder.h
@@ -0,0 +1,46 @@
+#ifndef BLUEBELLBARROW_SPREAD_READORDER_H
+#define BLUEBELLBARROW_SPREAD_READORDER_H
+
+#include "plugins/membership/membership.h"
+#include "topology.h"
+
+#include <vector>
+
+namespace bluebellbarrow {
+
+/**
+ * The order in which nodes may read the platform: that of the topology, but
+ * nodes that say that a whole read takes them long come after all others.
+ * Nodes that know the same list and announcements agree on it.
+ *
+ * Thread safety: none; reads the objects that it refers to.
+ */
+class ReadOrder {
+public:
+  /** \pre both outlive the order. */
+  ReadOrder(const Topology &Nodes, const Membership &Members)
+      : Nodes(Nodes), Members(Members) {}
+
+  /** Returns the number of nodes. */
+  size_t size() const { return this->Nodes.size(); }
+
+  /** Returns the place of \a Name, from 0; the largest size if not listed. */
+  size_t placeOf(const VmName &Name) const;
+
+  /** Returns the first \a Count nodes that come before \a Name. */
+  std::vector<VmName> before(const VmName &Name, size_t Count) const;
+
+  /** Returns the first \a Count nodes. */
+  std::vector<VmName> first(size_t Count) const;
+
+private:
+  bool isSlow(const VmName &Name) const;
+  std::vector<VmName> firstUntil(size_t Place, size_t Count) const;
+
+  const Topology &Nodes;
+  const Membership &Members;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_SPREAD_READORDER_H
--- a/src/plugins/spread/readschedule.cpp
+++ b/src/plugins/spread/readschedule.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr size_t UnknownPlace = 0xffff;
 constexpr uint32_t UnknownAge = 0xffffffff;
 
 constexpr Duration FirstBackoff = milliseconds(200);
@@ -28,16 +27,19 @@
 /** Time between two questions to peers. */
 constexpr Duration AskInterval = milliseconds(150);
 
-/** Time for which a node that was heard counts as present. */
-constexpr Duration PresenceTime = seconds(1);
-
 /** Better-placed nodes that are waited for at most. */
-constexpr int64_t MaxWaitedFor = 8;
+constexpr size_t MaxWaitedFor = 8;
+
+/** Least time between two looks at a changed order. */
+constexpr Duration RefreshInterval = milliseconds(250);
+
+/** Time for which a failed read of another node is remembered. */
+constexpr Duration FailureMemory = seconds(10);
 
 /** Age difference from which on a read is news. */
 constexpr Duration NewsStep = milliseconds(100);
 
-constexpr size_t MaxHeard = 64;
+constexpr size_t MaxFailures = 64;
 
 Duration scaled(Duration Time, double Factor) {
   return std::chrono::duration_cast<Duration>(Time * Factor);
@@ -50,39 +52,47 @@
 
 } // namespace
 
-ReadSchedule::ReadSchedule(ReadScheduleOptions Options, uint64_t Seed,
-                           TimePoint Now)
-    : Options(Options), Random(Seed), Place(UnknownPlace), OwnTry(Now),
-      Started(Now), LastAsk(Now), NotBefore(Now) {
+ReadSchedule::ReadSchedule(ReadScheduleOptions Options, VmName Self,
+                           const ReadOrder &Order, uint64_t Seed, TimePoint Now)
+    : Options(Options), Self(std::move(Self)), Order(Order), Random(Seed),
+      NextRefresh(Now), OwnTry(Now), Started(Now), LastAsk(Now),
+      NotBefore(Now) {
   this->drawJitter();
 }
 
-void ReadSchedule::setPlace(size_t NewPlace, size_t NewFleetSize) {
-  this->Place = std::min(NewPlace, UnknownPlace);
-  this->FleetSize = std::max<size_t>(NewFleetSize, 1);
+void ReadSchedule::refreshOrder(TimePoint Now) {
+  if (!this->OrderChanged || Now < this->NextRefresh)
+    return;
+  this->OrderChanged = false;
+  this->NextRefresh = Now + RefreshInterval;
+  this->Better = this->Order.before(this->Self, MaxWaitedFor);
 }
 
 void ReadSchedule::restart(TimePoint Now) { this->Started = Now; }
 
 bool ReadSchedule::isReader() const {
-  return this->Place < static_cast<size_t>(this->Options.Readers);
-}
-
-bool ReadSchedule::onHeard(const ReadNews &News, TimePoint Now) {
-  if (News.SenderPlace != this->Place) {
-    this->Heard[News.SenderPlace] = Now;
-    if (this->Heard.size() > MaxHeard)
-      this->Heard.erase(std::prev(this->Heard.end()));
-    this->Failed.erase(News.SenderPlace);
-    if (News.FailedAge != UnknownAge)
-      this->Failed[News.SenderPlace] = Now - milliseconds(News.FailedAge);
-    if (this->Failed.size() > MaxHeard)
-      this->Failed.erase(std::prev(this->Failed.end()));
-  }
+  return !this->OrderChanged &&
+         this->Better.size() < static_cast<size_t>(this->Options.Readers);
+}
+
+void ReadSchedule::takeFailure(const VmName &Sender, const ReadNews &News,
+                               TimePoint Now) {
+  this->Failed.erase(Sender);
+  if (News.FailedAge == UnknownAge)
+    return;
+  std::erase_if(this->Failed, [Now](const auto &Each) {
+    return Now - Each.second > FailureMemory;
+  });
+  if (this->Failed.size() < MaxFailures)
+    this->Failed[Sender] = Now - milliseconds(News.FailedAge);
+}
+
+bool ReadSchedule::onHeard(const VmName &Sender, const ReadNews &News,
+                           TimePoint Now) {
+  this->takeFailure(Sender, News, Now);
   if (News.ReaderAge != UnknownAge)
     this->takeReader(
-        {.Place = News.ReaderPlace, .Good = Now - milliseconds(News.ReaderAge)},
-        Now);
+        {.Name = News.Reader, .Good = Now - milliseconds(News.ReaderAge)}, Now);
   if (News.GoodAge == UnknownAge)
     return false;
   const TimePoint When = Now - milliseconds(News.GoodAge);
@@ -109,16 +119,17 @@
     return;
   const bool KnownIsOld =
       !this->Best || Now - this->Best->Good > this->Options.Base;
-  if (KnownIsOld || Heard.Place < this->Best->Place)
-    this->Best = Heard;
-  else if (Heard.Place == this->Best->Place)
+  if (!KnownIsOld && Heard.Name == this->Best->Name)
     this->Best->Good = std::max(this->Best->Good, Heard.Good);
+  else if (KnownIsOld || this->Order.placeOf(Heard.Name) <
+                             this->Order.placeOf(this->Best->Name))
+    this->Best = Heard;
 }
 
 void ReadSchedule::onGoodRead(TimePoint Now) {
   this->OwnTry = Now;
   this->takeGood(Now);
-  this->takeReader({.Place = this->Place, .Good = Now}, Now);
+  this->takeReader({.Name = this->Self, .Good = Now}, Now);
   this->Failures = 0;
   this->NotBefore = Now;
 }
@@ -137,50 +148,52 @@
   return Awaited;
 }
 
-bool ReadSchedule::hasFailed(size_t Place) const {
-  const auto Known = this->Failed.find(Place);
+bool ReadSchedule::hasFailed(const VmName &Name) const {
+  const auto Known = this->Failed.find(Name);
   return Known != this->Failed.end() &&
          (!this->Good || Known->second >= *this->Good);
 }
 
 bool ReadSchedule::readerHasFailed() const {
-  return this->Best && this->hasFailed(this->Best->Place);
+  return this->Best && this->hasFailed(this->Best->Name);
 }
 
 bool ReadSchedule::standsAside(TimePoint Now) const {
-  return this->Best && this->Best->Place < this->Place &&
-         Now - this->Best->Good <= this->Options.Base &&
+  return this->Best && Now - this->Best->Good <= this->Options.Base &&
+         this->Order.placeOf(this->Best->Name) < this->place() &&
          !this->readerHasFailed();
 }
 
-int64_t ReadSchedule::betterPlacedHeard(TimePoint Now) const {
-  const auto Readers = static_cast<size_t>(this->Options.Readers);
+int64_t ReadSchedule::awaitedCount() const {
   return std::count_if(
-      this->Heard.begin(), this->Heard.end(), [&](const auto &Each) {
-        // Those that always read have failed when the last read is old.
-        return Each.first >= Readers && Each.first < this->Place &&
-               Now - Each.second <= PresenceTime &&
-               !this->hasFailed(Each.first);
-      });
+      this->Better.begin(), this->Better.end(),
+      [this](const VmName &Each) { return !this->hasFailed(Each); });
 }
 
 Duration ReadSchedule::fleetShare() const {
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(static_cast<double>(this->FleetSize) /
+      std::chrono::duration<double>(static_cast<double>(this->Order.size()) /
                                     this->Options.FleetRequestsPerSecond));
 }
 
-Duration ReadSchedule::limit(TimePoint Now) const {
-  const int64_t Better = std::min(this->betterPlacedHeard(Now), MaxWaitedFor);
-  const Duration Spread = scaled(this->fleetShare(), this->Jitter);
+Duration ReadSchedule::limit() const {
   const bool AtOnce = this->Failures == 0 && this->readerHasFailed();
   const Duration Base = AtOnce ? Duration::zero() : this->Options.Base;
-  const Duration Turn = Base + this->Options.Step * Better;
-  return this->Failures > 0 ? Turn + this->fleetShare() + Spread
-                            : Turn + Spread;
+  const Duration Turn = Base + this->Options.Step * this->awaitedCount();
+  const Duration Spread = scaled(this->fleetShare(), this->Jitter);
+  if (this->Failures > 0)
+    return Turn + this->fleetShare() + Spread;
+  // The first ones take turns; all others would come at once.
+  return this->Better.size() < MaxWaitedFor ? Turn : Turn + Spread;
 }
 
 bool ReadSchedule::shouldRead(TimePoint Now) {
+  this->refreshOrder(Now);
+  this->Reads = this->decideRead(Now);
+  return this->Reads;
+}
+
+bool ReadSchedule::decideRead(TimePoint Now) {
   if (Now < this->NotBefore)
     return false;
   if (this->isReader())
@@ -193,8 +206,8 @@
   if (this->Failures > 0)
     Last = std::max(Last, this->OwnTry);
   else if (this->readerHasFailed())
-    Last = std::max(Last, this->Failed.at(this->Best->Place));
-  this->Reading = this->Reading || Now - Last > this->limit(Now);
+    Last = std::max(Last, this->Failed.at(this->Best->Name));
+  this->Reading = this->Reading || Now - Last > this->limit();
   return this->Reading;
 }
 
@@ -206,13 +219,13 @@
 }
 
 ReadNews ReadSchedule::news(TimePoint Now) const {
-  ReadNews News{.SenderPlace = static_cast<uint16_t>(this->Place)};
+  ReadNews News;
   if (this->Good)
     News.GoodAge = ageInMilliseconds(*this->Good, Now);
   if (this->Failures > 0)
     News.FailedAge = ageInMilliseconds(this->OwnTry, Now);
   if (this->Best) {
-    News.ReaderPlace = static_cast<uint16_t>(this->Best->Place);
+    News.Reader = this->Best->Name;
     News.ReaderAge = ageInMilliseconds(this->Best->Good, Now);
   }
   return News;
--- a/src/plugins/spread/readschedule.h
+++ b/src/plugins/spread/readschedule.h
@@ -2,11 +2,13 @@
 #define BLUEBELLBARROW_SPREAD_READSCHEDULE_H
 
 #include "kernel/clock.h"
+#include "readorder.h"
 #include "spreadmessages.h"
 
 #include <map>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace bluebellbarrow {
 
@@ -18,7 +20,7 @@
   /** Age of the last good read at which another node reads. */
   Duration Base = milliseconds(1500);
 
-  /** Time by which a node waits longer for each better-placed one it hears. */
+  /** Time by which a node waits longer for each better-placed one. */
   Duration Step = milliseconds(300);
 
   /** Requests per second that the whole fleet may make at most. */
@@ -27,31 +29,32 @@
 
 /**
  * Decides when this node reads the platform, so that few nodes of the fleet
- * do, without an election. The nodes have places in one order, in which the
- * failure domains take turns; the first ones read all the time. Each node
- * hears how old the last good read is, and reads itself when that is too old
- * and no better-placed node that it can hear has done so. A node that hears
- * nobody reads without further delay. A reader whose read fails says so, and
- * the next one need not wait for the age.
+ * do, without an election. The nodes have places in one order; the first ones
+ * read all the time. Each node hears how old the last good read is, and reads
+ * itself when that is too old: the better its place, the sooner. A reader
+ * whose read fails says so, and the next one need not wait for the age.
  *
  * Thread safety: none; owned by one task.
  */
 class ReadSchedule {
 public:
-  ReadSchedule(ReadScheduleOptions Options, uint64_t Seed, TimePoint Now);
+  /** \pre \a Order outlives the schedule. */
+  ReadSchedule(ReadScheduleOptions Options, VmName Self, const ReadOrder &Order,
+               uint64_t Seed, TimePoint Now);
 
   void setOptions(const ReadScheduleOptions &New) { this->Options = New; }
 
-  /** Tells the node's place in the order, from 0, and the fleet's size. */
-  void setPlace(size_t Place, size_t FleetSize);
+  /** The list of nodes, or what they say of themselves, has changed. */
+  void onOrderChanged() { this->OrderChanged = true; }
 
-  size_t place() const { return this->Place; }
+  /** Returns this node's place in the order. */
+  size_t place() const { return this->Order.placeOf(this->Self); }
 
   /**
-   * Takes in what a digest says of reads. Returns true when the last good
-   * read is clearly newer than was known.
+   * Takes in what a digest of \a Sender says of reads. Returns true when the
+   * last good read is clearly newer than was known.
    */
-  bool onHeard(const ReadNews &News, TimePoint Now);
+  bool onHeard(const VmName &Sender, const ReadNews &News, TimePoint Now);
 
   /** Counts the wait for the reads of others from \a Now on. */
   void restart(TimePoint Now);
@@ -74,6 +77,9 @@
   /** Peers were asked. */
   void onAsked(TimePoint Now) { this->LastAsk = Now; }
 
+  /** Returns what shouldRead() decided last. */
+  bool reads() const { return this->Reads; }
+
   /** Returns what this node's digest says. */
   ReadNews news(TimePoint Now) const;
 
@@ -90,28 +96,36 @@
   void forgetAge() { this->Good.reset(); }
 
 private:
+  /** The last good read of one node. */
+  struct Reader {
+    VmName Name;
+    TimePoint Good;
+  };
+
+  void refreshOrder(TimePoint Now);
+  bool decideRead(TimePoint Now);
   bool standsAside(TimePoint Now) const;
   bool isReader() const;
-  bool hasFailed(size_t Place) const;
+  bool hasFailed(const VmName &Name) const;
   bool readerHasFailed() const;
-  int64_t betterPlacedHeard(TimePoint Now) const;
-  Duration limit(TimePoint Now) const;
+  int64_t awaitedCount() const;
+  Duration limit() const;
   Duration fleetShare() const;
   void drawJitter();
+  void takeFailure(const VmName &Sender, const ReadNews &News, TimePoint Now);
+  void takeReader(const Reader &Heard, TimePoint Now);
+  void takeGood(TimePoint When);
 
   ReadScheduleOptions Options;
+  VmName Self;
+  const ReadOrder &Order;
   std::mt19937_64 Random;
-  size_t Place;
-  size_t FleetSize = 1;
 
-  /** The last good read of one node. */
-  struct Reader {
-    size_t Place = 0;
-    TimePoint Good;
-  };
+  /** Nodes that come before this one; no more than are waited for. */
+  std::vector<VmName> Better;
 
-  void takeReader(const Reader &Heard, TimePoint Now);
-  void takeGood(TimePoint When);
+  bool OrderChanged = true;
+  TimePoint NextRefresh;
 
   /** The newest good read known. */
   std::optional<TimePoint> Good;
@@ -122,11 +136,8 @@
   /** The best-placed node that is known to read. */
   std::optional<Reader> Best;
 
-  /** When nodes were heard last, by place. */
-  std::map<size_t, TimePoint> Heard;
-
   /** When reads of other nodes failed that have not worked since. */
-  std::map<size_t, TimePoint> Failed;
+  std::map<VmName, TimePoint> Failed;
 
   TimePoint OwnTry;
   TimePoint Started;
@@ -137,6 +148,9 @@
   /** This node reads until a better-placed one does. */
   bool Reading = false;
 
+  /** What shouldRead() decided last. */
+  bool Reads = false;
+
   /** Drawn anew after each failure, from 0 to 1. */
   double Jitter = 0;
 };
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -14,8 +14,8 @@
 constexpr int MaxReadDoublings = 5;
 constexpr Duration MaxHold = milliseconds(500);
 
-/** First ranks of a domain that a reader tells of its reads directly. */
-constexpr size_t ToldRanks = 4;
+/** First nodes in the order of reading that are told of reads directly. */
+constexpr size_t ToldPlaces = 4;
 
 } // namespace
 
@@ -31,8 +31,11 @@
       Members(MemberAnnouncement{.Name = this->Options.Self,
                                  .Life = this->Options.Life,
                                  .Sequence = 1,
-                                 .State = MemberState::Starting}),
-      Schedule({}, this->Options.Seed + 3, Now),
+                                 .State = MemberState::Starting,
+                                 .ReadsSlowly = this->Options.ReadsSlowly}),
+      Readers(this->Nodes, this->Members),
+      Schedule({}, this->Options.Self, this->Readers, this->Options.Seed + 3,
+               Now),
       Boot(this->Options.BootSilence), Started(Now), NextDigest(Now),
       NextAsk(Now), HoldUntil(Now), TransferWindow(Now) {}
 
@@ -113,10 +116,10 @@
   for (const Address &Root : this->roots())
     this->sendDigest(Root, DigestPurpose::ReadNews, Now);
   // Those that would read next learn of it even when the tree has a gap.
-  const auto &Members = this->Nodes.domainMembers();
-  for (size_t Rank = 1; Rank < std::min(ToldRanks, Members.size()); ++Rank)
-    if (Rank != this->Nodes.rank())
-      this->sendDigest(Members[Rank].Ip, DigestPurpose::ReadNews, Now);
+  for (const VmName &Name : this->Readers.first(ToldPlaces))
+    if (Name != this->Options.Self)
+      this->sendDigest(this->Nodes.findByName(Name)->Ip,
+                       DigestPurpose::ReadNews, Now);
 }
 
 void Spread::tellChildren(TimePoint Now) {
@@ -273,7 +276,7 @@
 void Spread::useVms() {
   this->Nodes =
       Topology(this->Lapsed.inUse(), this->Options.Self, this->Options.Domain);
-  this->Schedule.setPlace(this->Nodes.readPlace(), this->Nodes.size());
+  this->Schedule.onOrderChanged();
   this->Members.retain([this](const VmName &Name) {
     return this->Nodes.findByName(Name) != nullptr;
   });
@@ -290,9 +293,9 @@
       this->push(Child, Kind, WithContent, Now);
   if (How == Origin::Push)
     return;
-  // The first in the order brings the content to the other domains; whoever
-  // else has read only offers it, which costs little where it is known.
-  const bool First = How == Origin::Platform && this->Nodes.readPlace() == 0;
+  // The node that reads brings the content to the other domains; whoever else
+  // has read once only offers it, which costs little where it is known.
+  const bool First = How == Origin::Platform && this->Schedule.reads();
   for (const Address &Root : this->roots())
     if (Root != From)
       this->push(Root, Kind, WithContent && First, Now);
@@ -386,6 +389,7 @@
   const bool Changes = Known == nullptr || Known->State != Announced.State;
   if (!this->Members.merge(Announced))
     return false;
+  this->Schedule.onOrderChanged();
   const bool Leaves = Announced.State == MemberState::Draining ||
                       Announced.State == MemberState::Gone;
   if (Changes && Leaves)
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -8,6 +8,7 @@
 #include "plugins/membership/membership.h"
 #include "pullcontrol.h"
 #include "pushtracker.h"
+#include "readorder.h"
 #include "readschedule.h"
 #include "spreadactions.h"
 #include "topology.h"
@@ -48,6 +49,9 @@
    */
   bool ExactPlatform = false;
 
+  /** A whole read of the platform takes this node long. */
+  bool ReadsSlowly = false;
+
   /** Policy until a version is in force. */
   SpreadPolicy FirstPolicy = defaultSpreadPolicy();
 };
@@ -217,6 +221,7 @@
   LapsedVms Lapsed;
   Topology Nodes;
   Membership Members;
+  ReadOrder Readers;
   ReadSchedule Schedule;
   Bootstrap Boot;
   PlatformFetch Fetch;
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -35,11 +35,8 @@
 
 /** What a node knows of good reads of the platform. */
 struct ReadNews {
-  /** Place of the sender in the order of readers. */
-  uint16_t SenderPlace = 0xffff;
-
-  /** Place of the best-placed node that reads. */
-  uint16_t ReaderPlace = 0xffff;
+  /** The best-placed node that reads; empty for none. */
+  VmName Reader;
 
   /** Milliseconds since that node's last good read; the largest for none. */
   uint32_t ReaderAge = 0xffffffff;
@@ -51,8 +48,7 @@
   uint32_t FailedAge = 0xffffffff;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->SenderPlace, this->ReaderPlace, this->ReaderAge, this->GoodAge,
-       this->FailedAge);
+    Ar(this->Reader, this->ReaderAge, this->GoodAge, this->FailedAge);
   }
 };
 
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -141,7 +141,7 @@
   this->mergeAnnouncement(Message.Sender, From, Now);
   for (const MemberAnnouncement &Announced : Message.News)
     this->mergeAnnouncement(Announced, From, Now);
-  if (this->Schedule.onHeard(Message.Read, Now))
+  if (this->Schedule.onHeard(Message.Sender.Name, Message.Read, Now))
     this->tellChildren(Now);
   this->compareVersions(From, Message, Now);
 }
--- a/src/plugins/spread/topology.cpp
+++ b/src/plugins/spread/topology.cpp
@@ -3,7 +3,6 @@
 #include "kernel/hashing.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <utility>
 
@@ -47,37 +46,54 @@
 Topology::Topology(const std::vector<Vm> &Vms, const VmName &Self,
                    const FailureDomain &Domain)
     : All(withoutRepeats(Vms)), Self(Self) {
-  std::map<FailureDomain, std::vector<Vm>> Others;
+  Domains Members;
   for (size_t Index = 0; Index < this->All.size(); ++Index) {
     const Vm &Each = this->All[Index];
     this->ByAddress.emplace(Each.Ip, Index);
     this->ByName.emplace(Each.Name, Index);
-    if (Each.Domain == Domain) {
-      this->Own.push_back(Each);
-      continue;
-    }
-    this->Outside.push_back(Each);
-    Others[Each.Domain].push_back(Each);
+    Members[Each.Domain].push_back(Each);
+    if (Each.Domain != Domain)
+      this->Outside.push_back(Each);
+  }
+  for (auto &[Name, Nodes] : Members) {
+    sortByRank(Nodes);
+    if (Name != Domain)
+      this->OtherRoots.push_back(Nodes.front().Ip);
   }
-  sortByRank(this->Own);
+  this->orderReaders(Members);
+  this->Own = std::move(Members[Domain]);
   this->OwnRank = this->Own.size();
   for (size_t Rank = 0; Rank < this->Own.size(); ++Rank) {
     this->OwnRanks.emplace(this->Own[Rank].Ip, Rank);
     if (this->Own[Rank].Name == Self)
       this->OwnRank = Rank;
   }
-  this->Domains = Others.size() + 1;
-  for (auto &[Name, Members] : Others) {
-    sortByRank(Members);
-    this->OtherRoots.push_back(Members.front().Ip);
-    this->DomainIndex += comesBefore(Name, Domain) ? 1 : 0;
+}
+
+void Topology::orderReaders(const Domains &Members) {
+  std::vector<FailureDomain> Turns;
+  size_t MostNodes = 0;
+  for (const auto &[Name, Nodes] : Members) {
+    Turns.push_back(Name);
+    MostNodes = std::max(MostNodes, Nodes.size());
   }
+  std::sort(Turns.begin(), Turns.end(), comesBefore);
+  this->ReadPlaces.resize(this->All.size());
+  for (size_t Rank = 0; Rank < MostNodes; ++Rank)
+    for (const FailureDomain &Turn : Turns) {
+      const std::vector<Vm> &Nodes = Members.at(Turn);
+      if (Rank >= Nodes.size())
+        continue;
+      const size_t Index = this->ByName.at(Nodes[Rank].Name);
+      this->ReadPlaces[Index] = static_cast<uint32_t>(this->ByReadPlace.size());
+      this->ByReadPlace.push_back(static_cast<uint32_t>(Index));
+    }
 }
 
-size_t Topology::readPlace() const {
-  if (!this->listed())
-    return std::numeric_limits<size_t>::max();
-  return this->OwnRank * this->Domains + this->DomainIndex;
+size_t Topology::readPlaceOf(const VmName &Name) const {
+  const auto Found = this->ByName.find(Name);
+  return Found == this->ByName.end() ? this->size()
+                                     : this->ReadPlaces[Found->second];
 }
 
 std::vector<Address> Topology::children(size_t Rank, size_t FanOut) const {
--- a/src/plugins/spread/topology.h
+++ b/src/plugins/spread/topology.h
@@ -3,6 +3,7 @@
 
 #include "tree/vmlist.h"
 
+#include <cstdint>
 #include <map>
 #include <random>
 #include <vector>
@@ -34,10 +35,15 @@
   bool listed() const { return this->OwnRank < this->Own.size(); }
 
   /**
-   * Returns this node's place among those that may read the platform: by
-   * rank, and for one rank by domain. The largest size if unlisted.
+   * Returns the place of \a Name in the order in which nodes may read the
+   * platform: by rank, and for one rank by domain. size() if unlisted.
    */
-  size_t readPlace() const;
+  size_t readPlaceOf(const VmName &Name) const;
+
+  /** Returns the VM at a place of that order. \pre \a Place < size(). */
+  const Vm &atReadPlace(size_t Place) const {
+    return this->All[this->ByReadPlace[Place]];
+  }
 
   /** Returns the nodes of this node's domain by rank. */
   const std::vector<Vm> &domainMembers() const { return this->Own; }
@@ -65,6 +71,10 @@
   const std::vector<Vm> &all() const { return this->All; }
 
 private:
+  using Domains = std::map<FailureDomain, std::vector<Vm>>;
+
+  void orderReaders(const Domains &Members);
+
   std::vector<Vm> All;
   std::vector<Vm> Own;
   std::vector<Vm> Outside;
@@ -72,11 +82,12 @@
   std::map<Address, size_t> ByAddress;
   std::map<Address, size_t> OwnRanks;
   std::map<VmName, size_t> ByName;
-  size_t OwnRank = 0;
 
-  /** Number of domains, and this one's index in their order. */
-  size_t Domains = 0;
-  size_t DomainIndex = 0;
+  /** Indices of All in the order of reading, and the places in it. */
+  std::vector<uint32_t> ByReadPlace;
+  std::vector<uint32_t> ReadPlaces;
+
+  size_t OwnRank = 0;
 
   VmName Self;
 };
--- a/tests/support/spreadworld.cpp
+++ b/tests/support/spreadworld.cpp
@@ -16,6 +16,7 @@
 constexpr Duration TickPeriod = milliseconds(25);
 constexpr Duration LinkDelay = milliseconds(1);
 constexpr Duration PlatformDelay = milliseconds(2);
+constexpr Duration SlowReadLimit = milliseconds(600);
 constexpr Duration ExactBootSilence = milliseconds(60);
 constexpr size_t SeedCount = 3;
 constexpr Duration PauseLimit = milliseconds(1000);
@@ -87,6 +88,12 @@
                                     .Ip = Address(Ip),
                                     .Domain = FailureDomain(Words[2]),
                                     .Service = ServiceName("s")};
+  } else if (Verb == "slow") {
+    for (const Node *Each : this->chosen(Words[1]))
+      this->Slow.insert(Each->Listed.Name.str());
+  } else if (Verb == "quick") {
+    for (const Node *Each : this->chosen(Words[1]))
+      this->Slow.erase(Each->Listed.Name.str());
   } else if (Verb == "start" || Verb == "start-clock-back") {
     for (Node *Each : this->chosen(Words[1]))
       this->start(*Each, Verb == "start-clock-back");
@@ -217,19 +224,20 @@
   const FailureDomain Domain = Target.Listed.Domain;
   const auto Compiler = std::make_shared<VersionCompiler>();
   Target.Decisions = std::make_unique<Spread>(
-      SpreadOptions{.Mesh = "m",
-                    .Self = Target.Listed.Name,
-                    .Domain = Domain,
-                    .Life = Incarnation(ClockBack ? Before - 1 : Target.Life),
-                    .Ip = Target.Listed.Ip,
-                    .Seeds =
-                        this->Exact ? this->seeds() : std::vector<Address>(),
-                    .BootSilence = this->Exact ? ExactBootSilence
-                                               : SpreadOptions().BootSilence,
-                    .Seed = Target.Life * 100,
-                    .ExactPlatform = this->Exact,
-                    .FirstPolicy = this->Exact ? this->firstPolicy()
-                                               : SpreadOptions().FirstPolicy},
+      SpreadOptions{
+          .Mesh = "m",
+          .Self = Target.Listed.Name,
+          .Domain = Domain,
+          .Life = Incarnation(ClockBack ? Before - 1 : Target.Life),
+          .Ip = Target.Listed.Ip,
+          .Seeds = this->Exact ? this->seeds() : std::vector<Address>(),
+          .BootSilence =
+              this->Exact ? ExactBootSilence : SpreadOptions().BootSilence,
+          .Seed = Target.Life * 100,
+          .ExactPlatform = this->Exact,
+          .ReadsSlowly = this->Slow.contains(Target.Listed.Name.str()),
+          .FirstPolicy =
+              this->Exact ? this->firstPolicy() : SpreadOptions().FirstPolicy},
       [Compiler](ItemKind Kind, const WholeVersion &Version) {
         return Compiler->check(Kind, Version);
       },
@@ -447,6 +455,13 @@
     this->toNode(Read.Node, Read.Life, PlatformDelay, std::move(Work));
   };
   const bool Refuses = this->Refused.contains(Read.Node);
+  if (this->Slow.contains(Read.Node)) {
+    this->toNode(Read.Node, Read.Life, SlowReadLimit,
+                 [this, Kind = Read.Kind](Node &To) {
+                   To.Decisions->onPlatformFailed(Kind, this->Now);
+                 });
+    return;
+  }
   const bool EndsQuietly = Refuses && this->RefusesQuietly && Read.Waited;
   if (this->Down || (Refuses && !EndsQuietly)) {
     Answer([this, Kind = Read.Kind](Node &To) {
--- a/tests/support/spreadworld.h
+++ b/tests/support/spreadworld.h
@@ -107,6 +107,9 @@
   /** Nodes that the list lacks. */
   std::set<std::string> Unlisted;
 
+  /** Nodes whose reads of the platform never end in time. */
+  std::set<std::string> Slow;
+
   /** Nodes that the platform refuses. */
   std::set<std::string> Refused;
 
