A reader that is no longer first goes on until a better-placed one reads

Newly listed nodes that had not started took the first places; the reader, no longer first, ceased at once, and each start's one read named that node as the one that reads, so others stood aside for it.

Changed: the first one stays a reader until it hears a better one; the read of a start counts for the age only; a list that has just changed no longer interrupts the reader for a quarter of a second.

Also the test fleet fills in the limits of a VM, which 33 process tests lacked.

--- a/src/plugins/spread/readschedule.cpp
+++ b/src/plugins/spread/readschedule.cpp
@@ -64,6 +64,7 @@
   if (!this->OrderChanged || Now < this->NextRefresh)
     return;
   this->OrderChanged = false;
+  this->OrderKnown = this->Order.size() > 0;
   this->NextRefresh = Now + RefreshInterval;
   this->Better = this->Order.before(this->Self, MaxWaitedFor);
 }
@@ -71,8 +72,7 @@
 void ReadSchedule::restart(TimePoint Now) { this->Started = Now; }
 
 bool ReadSchedule::isReader() const {
-  return !this->OrderChanged &&
-         this->Better.size() < static_cast<size_t>(this->Options.Readers);
+  return this->OrderKnown && this->Better.size() < static_cast<size_t>(this->Options.Readers);
 }
 
 void ReadSchedule::takeFailure(const VmName &Sender, const ReadNews &News,
@@ -129,7 +129,9 @@
 void ReadSchedule::onGoodRead(TimePoint Now) {
   this->OwnTry = Now;
   this->takeGood(Now);
-  this->takeReader({.Name = this->Self, .Good = Now}, Now);
+  // The read of a node that starts is its last one for now.
+  if (this->Reads)
+    this->takeReader({.Name = this->Self, .Good = Now}, Now);
   this->Failures = 0;
   this->NotBefore = Now;
 }
@@ -196,8 +198,10 @@
 bool ReadSchedule::decideRead(TimePoint Now) {
   if (Now < this->NotBefore)
     return false;
-  if (this->isReader())
+  if (this->isReader()) {
+    this->Reading = true;
     return true;
+  }
   if (this->standsAside(Now)) {
     this->Reading = false;
     return false;
--- a/src/plugins/spread/readschedule.h
+++ b/src/plugins/spread/readschedule.h
@@ -125,6 +125,7 @@
   std::vector<VmName> Better;
 
   bool OrderChanged = true;
+  bool OrderKnown = false;
   TimePoint NextRefresh;
 
   /** The newest good read known. */
--- a/tests/standins/meshfleet.py
+++ b/tests/standins/meshfleet.py
@@ -119,6 +119,7 @@
 
     def settings_text(self, vm, **changes):
         fields = {"ipAddress": vm.address, "zone": vm.zone,
+                  "limits": {"cpuShare": 1, "linkMbps": 1000.0},
                   "service": vm.service,
                   "platform": {"address": f"{self.store_address}:{STORE_PORT}"},
                   "applicationAddress": f"{vm.address}:{APP_PORT}",
