Routes are compiled once for each changed branch, and not for a new list of VMs

Two process tests had failed beside this: their addresses were still taken by processes of a test run that had failed before its with-block (33 tests at once). Fleets end their processes at exit now; both pass.

--- /dev/null
+++ b/src/kernel/digest.h
@@ -0,0 +1,46 @@
+#ifndef BLUEBELLBARROW_KERNEL_DIGEST_H
+#define BLUEBELLBARROW_KERNEL_DIGEST_H
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bluebellbarrow {
+
+/** SHA-256 of a value. */
+class Digest {
+public:
+  static constexpr size_t Size = 32;
+
+  /** Creates the digest that stands for none: all bytes are zero. */
+  Digest() = default;
+
+  explicit Digest(const std::array<uint8_t, Size> &Bytes) : Bytes(Bytes) {}
+
+  /** Reads 64 lower-case hexadecimal digits. Thread safety: safe. */
+  static std::optional<Digest> parse(std::string_view Text);
+
+  /** Returns 64 lower-case hexadecimal digits. */
+  std::string str() const;
+
+  /** Returns the first 64 bits. */
+  uint64_t prefix() const;
+
+  auto operator<=>(const Digest &) const = default; // NOLINT
+
+  /** Reads or writes the bytes with a cereal archive. */
+  template <typename Archive> void serialize(Archive &Ar) {
+    for (uint8_t &Byte : this->Bytes)
+      Ar(Byte);
+  }
+
+private:
+  std::array<uint8_t, Size> Bytes{};
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_KERNEL_DIGEST_H
--- a/src/kernel/hashing.cpp
+++ b/src/kernel/hashing.cpp
@@ -8,18 +8,10 @@
 namespace bluebellbarrow {
 
 Digest digestOf(std::string_view Value) {
-  static constexpr char Hex[] = "0123456789abcdef";
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> Hash{};
+  std::array<uint8_t, Digest::Size> Hash{};
   SHA256(reinterpret_cast<const unsigned char *>(Value.data()), Value.size(),
          Hash.data());
-
-  std::string Text;
-  Text.reserve(Hash.size() * 2);
-  for (const unsigned char Byte : Hash) {
-    Text.push_back(Hex[Byte >> 4U]);
-    Text.push_back(Hex[Byte & 15U]);
-  }
-  return Digest(Text);
+  return Digest(Hash);
 }
 
 MeshId meshIdOf(std::string_view Name) { return MeshId(stableHash(Name)); }
--- a/src/kernel/hashing.h
+++ b/src/kernel/hashing.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLBARROW_KERNEL_HASHING_H
 #define BLUEBELLBARROW_KERNEL_HASHING_H
 
+#include "digest.h"
 #include "ids.h"
 
 #include <cstdint>
--- a/src/kernel/ids.h
+++ b/src/kernel/ids.h
@@ -65,9 +65,6 @@
 /** Name of a route, unique in its service. */
 using RouteName = StrongString<struct RouteNameTag>;
 
-/** SHA-256 of a value, as 64 lower-case hexadecimal digits. */
-using Digest = StrongString<struct DigestTag>;
-
 /** Tells two lives of a process on the same VM apart; grows with time. */
 using Incarnation = StrongNumber<struct IncarnationTag>;
 
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -188,7 +188,7 @@
     this->refuse(Caller, Request, StatusNotRun, "the node stops");
     return;
   }
-  const RouteEntry *Route = this->Current->findRoute(
+  const RouteEntry *Route = this->Current->Routes->find(
       hostOf(Request), Request.Method, pathOf(Request.Target));
   if (Route == nullptr || Route->Shares.empty()) {
     this->refuse(Caller, Request, 404, "no route matches");
@@ -198,7 +198,7 @@
     this->refuse(Caller, Request, 508, "too many calls in a chain");
     return;
   }
-  if (Request.Body.size() > static_cast<size_t>(Route->Effective.MaxBody)) {
+  if (Request.Body.size() > static_cast<size_t>(Route->Effective->MaxBody)) {
     this->refuse(Caller, Request, 413, "request body is too large");
     return;
   }
@@ -214,8 +214,8 @@
                          .Route = Route.Name,
                          .Caller = this->Service,
                          .Priority =
-                             static_cast<uint8_t>(Route.Effective.Priority),
-                         .Idempotent = Route.Effective.Idempotent,
+                             static_cast<uint8_t>(Route.Effective->Priority),
+                         .Idempotent = Route.Effective->Idempotent,
                          .Depth = static_cast<uint8_t>(Depth),
                          .Call = Request};
   removeConnectionHeaders(Message.Call.Headers);
@@ -225,7 +225,7 @@
 void OriginCalls::begin(ExchangeId Caller, const HttpRequest &Request,
                         const RouteEntry &Route) {
   const TimePoint Now = Task::now();
-  const Policy &Rules = Route.Effective;
+  const Policy &Rules = *Route.Effective;
   const CallHeaderNames &Names = this->Dialect.names();
   const size_t Share = this->Shares.next(Route);
   const ServiceEntry &Service =
--- a/src/plugins/spread/catalogstore.cpp
+++ b/src/plugins/spread/catalogstore.cpp
@@ -29,18 +29,22 @@
 
 /** Returns the catalog of \a Message, its changes laid over \a Base. */
 Catalog patched(const Catalog &Base, const TransferMessage &Message) {
-  std::map<std::string, CatalogEntry> Entries;
-  for (const CatalogEntry &Each : Base.Entries)
-    Entries[Each.Path] = Each;
-  for (const std::string &Path : Message.Removed)
-    Entries.erase(Path);
-  for (const CatalogEntry &Each : Message.Changes.Entries)
-    Entries[Each.Path] = Each;
-
+  const std::set<std::string> Removed(Message.Removed.begin(),
+                                      Message.Removed.end());
   Catalog Result = Message.Changes;
   Result.Entries.clear();
-  for (const auto &[Path, Each] : Entries)
-    Result.Entries.push_back(Each);
+  Result.Entries.reserve(Base.Entries.size() + Message.Changes.Entries.size());
+  auto Change = Message.Changes.Entries.begin();
+  const auto Last = Message.Changes.Entries.end();
+  for (const CatalogEntry &Each : Base.Entries) {
+    while (Change != Last && Change->Path < Each.Path)
+      Result.Entries.push_back(*Change++);
+    if (Change != Last && Change->Path == Each.Path)
+      Result.Entries.push_back(*Change++);
+    else if (!Removed.contains(Each.Path))
+      Result.Entries.push_back(Each);
+  }
+  Result.Entries.insert(Result.Entries.end(), Change, Last);
   return Result;
 }
 
--- a/src/plugins/spread/versioncompiler.cpp
+++ b/src/plugins/spread/versioncompiler.cpp
@@ -2,8 +2,7 @@
 
 namespace bluebellbarrow {
 
-Result<VersionCompiler::TreePtr>
-VersionCompiler::treeOf(const WholeVersion &Config) {
+Result<SettingsTreePtr> VersionCompiler::treeOf(const WholeVersion &Config) {
   if (this->LastTree != nullptr && this->LastVersion == Config.Id)
     return this->LastTree;
   decltype(this->Parsed) Kept;
@@ -21,19 +20,20 @@
     Kept.emplace(std::pair(Each.Hash, Each.Path), Branch);
     Branches.emplace(Each.Path, std::move(Branch));
   }
-  Result<TreePtr> Tree = SettingsTree::build(std::move(Branches));
+  Result<SettingsTreePtr> Tree = SettingsTree::build(std::move(Branches));
   if (!Tree)
     return Tree;
   this->Parsed = std::move(Kept);
   this->LastTree = Tree.value();
   this->LastVersion = Config.Id;
+  this->Table.reset();
   return Tree;
 }
 
 std::optional<Error> VersionCompiler::check(ItemKind Kind,
                                             const WholeVersion &Version) {
   if (Kind == ItemKind::Config) {
-    const Result<TreePtr> Tree = this->treeOf(Version);
+    const Result<SettingsTreePtr> Tree = this->treeOf(Version);
     if (!Tree)
       return Tree.error();
     if (Tree.value()->meshName() != Version.Content.Mesh)
@@ -59,9 +59,16 @@
 VersionCompiler::compile(const WholeVersion &Config, const std::vector<Vm> &Vms,
                          const VersionId &ListVersion,
                          const FailureDomain &Domain) {
-  const TreePtr Tree = this->treeOf(Config).value();
-  return compileSnapshot(*Tree, Config.Id, Vms, ListVersion, Domain,
-                         this->Base);
+  const SettingsTreePtr Tree = this->treeOf(Config).value();
+  if (this->Table == nullptr)
+    this->Table = this->Routes.compile(Tree, Domain, this->Base.Calls);
+  return compileSnapshot({.Tree = *Tree,
+                          .Version = Config.Id,
+                          .Routes = this->Table,
+                          .Vms = Vms,
+                          .VmListVersion = ListVersion,
+                          .Domain = Domain,
+                          .Base = this->Base});
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/versioncompiler.h
+++ b/src/plugins/spread/versioncompiler.h
@@ -3,6 +3,7 @@
 
 #include "catalogstore.h"
 #include "kernel/error.h"
+#include "tree/routecompiler.h"
 #include "tree/snapshot.h"
 
 #include <map>
@@ -25,7 +26,10 @@
       : Base(std::move(Base)) {}
 
   /** Replaces what is used where a tree sets nothing. */
-  void setDefaults(SnapshotDefaults New) { this->Base = std::move(New); }
+  void setDefaults(SnapshotDefaults New) {
+    this->Base = std::move(New);
+    this->Table.reset();
+  }
 
   /** Returns why \a Version is bad, or nothing. */
   std::optional<Error> check(ItemKind Kind, const WholeVersion &Version);
@@ -41,16 +45,18 @@
                                           const FailureDomain &Domain);
 
 private:
-  using TreePtr = std::shared_ptr<const SettingsTree>;
-
-  Result<TreePtr> treeOf(const WholeVersion &Config);
+  Result<SettingsTreePtr> treeOf(const WholeVersion &Config);
 
   /** Branches of the version that was checked last, by digest and path. */
   std::map<std::pair<Digest, std::string>, BranchPtr> Parsed;
 
   SnapshotDefaults Base;
   VersionId LastVersion;
-  TreePtr LastTree;
+  SettingsTreePtr LastTree;
+  RouteCompiler Routes;
+
+  /** The routes of LastTree; null until they are needed. */
+  RouteTablePtr Table;
 };
 
 } // namespace bluebellbarrow
--- a/src/tree/catalog.cpp
+++ b/src/tree/catalog.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace bluebellbarrow {
 
@@ -16,11 +17,6 @@
 constexpr int ManifestFormat = 1;
 constexpr size_t ShownDigits = 8;
 
-bool isDigest(const std::string &Text) {
-  return Text.size() == 64 &&
-         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
 Error badManifest(const std::string &Detail) {
   return makeError(Errc::BadSyntax, "read manifest", "", Detail);
 }
@@ -31,10 +27,16 @@
   };
   const bool Sorted = std::adjacent_find(Of.Entries.begin(), Of.Entries.end(),
                                          SamePath) == Of.Entries.end();
-  const bool Digests = std::all_of(
-      Of.Entries.begin(), Of.Entries.end(),
-      [](const CatalogEntry &Each) { return isDigest(Each.Hash.str()); });
-  return Sorted && Digests && Of.Number.value() > 0;
+  return Sorted && Of.Number.value() > 0;
+}
+
+/** Reads a digest; throws for a text that is none. */
+Digest readDigest(const Json &From) {
+  const std::optional<Digest> Read =
+      Digest::parse(From.at("digest").get_ref<const std::string &>());
+  if (!Read)
+    throw std::invalid_argument("a digest is malformed");
+  return *Read;
 }
 
 } // namespace
@@ -79,15 +81,13 @@
                .Parent = VersionNumber(Root.at("parent").get<uint64_t>())};
     for (const Json &Each : Root.at("branches"))
       Of.Entries.push_back({Each.at("path").get<std::string>(),
-                            Digest(Each.at("digest").get<std::string>()),
-                            Each.at("size").get<uint64_t>()});
+                            readDigest(Each), Each.at("size").get<uint64_t>()});
     for (const Json &Each : Root.at("bundles"))
-      Of.Bundles.push_back({Digest(Each.at("digest").get<std::string>()),
-                            Each.at("size").get<uint64_t>()});
+      Of.Bundles.push_back({readDigest(Each), Each.at("size").get<uint64_t>()});
     if (!wellFormed(Of))
-      return badManifest("paths are not sorted, or a digest is malformed");
+      return badManifest("paths are not sorted, or the version is 0");
     return Of;
-  } catch (const Json::exception &Failure) {
+  } catch (const std::exception &Failure) {
     return badManifest(Failure.what());
   }
 }
--- a/src/tree/catalog.h
+++ b/src/tree/catalog.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLBARROW_TREE_CATALOG_H
 #define BLUEBELLBARROW_TREE_CATALOG_H
 
+#include "kernel/digest.h"
 #include "kernel/error.h"
 #include "kernel/ids.h"
 
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -5,6 +5,7 @@
 #include "kernel/schema.h"
 
 #include <algorithm>
+#include <compare>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -45,6 +46,8 @@
 
   /** Connections that a target accepts from all callers together. */
   int64_t MaxConnections = 0;
+
+  auto operator<=>(const Policy &) const = default; // NOLINT
 };
 
 /** Returns the time within which an answer is of full use. */
--- /dev/null
+++ b/src/tree/routetable.h
@@ -0,0 +1,87 @@
+#ifndef BLUEBELLBARROW_TREE_ROUTETABLE_H
+#define BLUEBELLBARROW_TREE_ROUTETABLE_H
+
+#include "kernel/hashindex.h"
+#include "kernel/ids.h"
+#include "policy.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bluebellbarrow {
+
+/** A part of a route's requests. */
+struct ServiceShare {
+  /** Index into Snapshot::Services. */
+  size_t Service = 0;
+
+  /** Size relative to the other parts of the route. */
+  double Weight = 1;
+};
+
+/** A route of a service. */
+struct RouteEntry {
+  RouteName Name;
+
+  /** The services that serve it; at least one. */
+  std::vector<ServiceShare> Shares;
+
+  /** Host that requests name; empty for any. */
+  std::string Host;
+
+  /** Empty for any. */
+  std::string Method;
+
+  std::string PathPrefix;
+
+  /** Shared, since most routes have one of few policies. */
+  std::shared_ptr<const Policy> Effective;
+};
+
+/** The routes of one branch. */
+using RouteGroup = std::vector<RouteEntry>;
+
+using RouteGroupPtr = std::shared_ptr<const RouteGroup>;
+
+/**
+ * The routes of a tree and their index. Tables of versions that have branches
+ * in common share the groups of these.
+ *
+ * Thread safety: immutable, safe.
+ */
+class RouteTable {
+public:
+  explicit RouteTable(std::vector<RouteGroupPtr> Groups);
+
+  /**
+   * Returns the route with the longest prefix of whole segments of \a Path, or
+   * null. Among equal prefixes one that names the host comes first, then one
+   * that names the method. The time grows with the segments of the path only.
+   */
+  const RouteEntry *find(std::string_view Host, std::string_view Method,
+                         std::string_view Path) const;
+
+  const std::vector<RouteGroupPtr> &groups() const { return this->Groups; }
+
+private:
+  const RouteEntry *findExact(std::string_view Host, std::string_view Method,
+                              std::string_view Prefix) const;
+
+  std::vector<RouteGroupPtr> Groups;
+  HashIndex<const RouteEntry *> Index;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+/**
+ * Returns a hash of what a route matches; equal for equal matches.
+ * Thread safety: safe.
+ */
+uint64_t matchHash(std::string_view Host, std::string_view Method,
+                   std::string_view Prefix);
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_TREE_ROUTETABLE_H
--- a/src/tree/settingstree.cpp
+++ b/src/tree/settingstree.cpp
@@ -1,6 +1,8 @@
 #include "settingstree.h"
 
+#include "kernel/hashing.h"
 #include "kernel/inifile.h"
+#include "routetable.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -13,6 +15,12 @@
 
 std::string fileName(const Branch &Of) { return Of.Path + ".ini"; }
 
+/** Returns a hash of a route's name in a service. */
+uint64_t nameHash(const ServiceName &Service, const RouteName &Route) {
+  constexpr uint64_t ServiceFactor = 0x9e3779b97f4a7c15;
+  return stableHash(Service.str()) * ServiceFactor + stableHash(Route.str());
+}
+
 /** Returns the refinement of a route by a place, or null. */
 const RouteBranch *findRefinement(const Branch &In, const RouteName &Name) {
   const auto Found = std::find_if(
@@ -97,24 +105,32 @@
 }
 
 void SettingsTree::indexRoutes() {
+  HashIndex<const RouteBranch *> Matches;
   for (const auto &[Path, Each] : this->Branches) {
     if (Each->Kind != BranchKind::Service &&
         Each->Kind != BranchKind::RouteGroup)
       continue;
+    std::vector<const RouteBranch *> &Routes = this->RoutesOf[Each->Service];
     for (const RouteBranch &Route : Each->Routes) {
-      this->RoutesOf[Each->Service].push_back(&Route);
-      this->RouteIndex.emplace(
-          Each->Service.str() + "/" + Route.Name.str(),
-          RouteOwner{.Route = &Route, .Owner = Each.get()});
+      Routes.push_back(&Route);
+      this->RouteIndex.add(nameHash(Each->Service, Route.Name),
+                           {.Route = &Route, .Owner = Each.get()});
+      Matches.add(matchHash(Route.Host, Route.Method, Route.PathPrefix),
+                  &Route);
     }
   }
+  this->RouteIndex.finish();
+  Matches.finish();
+  this->MayRepeatMatches = Matches.hasEqualHashes();
 }
 
 const SettingsTree::RouteOwner *
 SettingsTree::findRoute(const ServiceName &Service,
                         const RouteName &Route) const {
-  const auto Found = this->RouteIndex.find(Service.str() + "/" + Route.str());
-  return Found == this->RouteIndex.end() ? nullptr : &Found->second;
+  return this->RouteIndex.find(
+      nameHash(Service, Route), [&](const RouteOwner &Each) {
+        return Each.Route->Name == Route && Each.Owner->Service == Service;
+      });
 }
 
 std::vector<SettingsTree::Layer>
@@ -149,6 +165,25 @@
   return Effective;
 }
 
+Policy SettingsTree::routePolicy(const FailureDomain &Place,
+                                 const ServiceName &Service,
+                                 const RouteBranch &Route,
+                                 const Policy &Common) const {
+  Policy Effective = Common;
+  const auto Apply = [&Effective](const std::vector<Override> &Values) {
+    for (const Override &Value : Values)
+      storeField(policyFields()[Value.Field], Value.Text, Value.Base,
+                 Effective);
+  };
+  Apply(Route.Policy);
+  const Branch *Both = this->find("place/" + Place.str() + "/" + Service.str());
+  const RouteBranch *Refined =
+      Both == nullptr ? nullptr : findRefinement(*Both, Route.Name);
+  if (Refined != nullptr)
+    Apply(Refined->Policy);
+  return Effective;
+}
+
 SpreadPolicy SettingsTree::spreadPolicy(const FailureDomain &Place,
                                         const SpreadPolicy &Base) const {
   SpreadPolicy Effective = Base;
@@ -221,9 +256,10 @@
 }
 
 void SettingsTree::checkRoutes(std::vector<Error> &Faults) const {
-  std::map<std::string, std::string> Matches;
   for (const auto &[Path, Shared] : this->Branches) {
     const Branch &Each = *Shared;
+    if (Each.Routes.empty())
+      continue;
     const bool HasService =
         this->find("service/" + Each.Service.str()) != nullptr;
     for (const RouteBranch &Route : Each.Routes) {
@@ -233,18 +269,29 @@
             lineError(Errc::MissingParent, fileName(Each), Route.Line,
                       "the service has no route '" + Route.Name.str() + "'"));
       this->checkReferences(Each, Route, Faults);
-      if (Each.Kind == BranchKind::PlaceService)
-        continue;
-      if (Known != nullptr && Known->Owner != &Each)
+      if (Each.Kind != BranchKind::PlaceService && Known != nullptr &&
+          Known->Owner != &Each)
         Faults.push_back(lineError(Errc::Duplicate, fileName(Each), Route.Line,
                                    "route '" + Route.Name.str() + "' is in " +
                                        Known->Owner->Path));
+    }
+  }
+  if (this->MayRepeatMatches)
+    this->checkMatches(Faults);
+}
+
+void SettingsTree::checkMatches(std::vector<Error> &Faults) const {
+  std::map<std::string, std::string> Matches;
+  for (const auto &[Path, Each] : this->Branches) {
+    if (Each->Kind == BranchKind::PlaceService)
+      continue;
+    for (const RouteBranch &Route : Each->Routes) {
       const std::string Match = (Route.Method.empty() ? "*" : Route.Method) +
                                 " " + Route.Host + Route.PathPrefix;
-      const std::string Owner = Path + "/" + Route.Name.str();
-      const auto [Taken, New] = Matches.emplace(Match, Owner);
+      const auto [Taken, New] =
+          Matches.emplace(Match, Path + "/" + Route.Name.str());
       if (!New)
-        Faults.push_back(lineError(Errc::Duplicate, fileName(Each), Route.Line,
+        Faults.push_back(lineError(Errc::Duplicate, fileName(*Each), Route.Line,
                                    "key 'match': '" + Match + "' is that of " +
                                        Taken->second));
     }
--- a/src/tree/settingstree.h
+++ b/src/tree/settingstree.h
@@ -2,12 +2,12 @@
 #define BLUEBELLBARROW_TREE_SETTINGSTREE_H
 
 #include "branch.h"
+#include "kernel/hashindex.h"
 #include "policy.h"
 
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace bluebellbarrow {
@@ -66,6 +66,9 @@
 
   const BranchMap &branches() const { return this->Branches; }
 
+  /** Returns the branch at \a Path, or null. */
+  const Branch *find(const std::string &Path) const;
+
   /** Returns the names of all services, sorted. */
   std::vector<ServiceName> services() const;
 
@@ -81,6 +84,13 @@
                 const RouteName &Route,
                 const Policy &Base = defaultPolicy()) const;
 
+  /**
+   * Returns the policy of \a Route, where \a Common is that of its service:
+   * policy() in parts, for many routes.
+   */
+  Policy routePolicy(const FailureDomain &Place, const ServiceName &Service,
+                     const RouteBranch &Route, const Policy &Common) const;
+
   SpreadPolicy
   spreadPolicy(const FailureDomain &Place,
                const SpreadPolicy &Base = defaultSpreadPolicy()) const;
@@ -106,7 +116,6 @@
 
   void indexRoutes();
   std::vector<Error> faults() const;
-  const Branch *find(const std::string &Path) const;
   const RouteOwner *findRoute(const ServiceName &Service,
                               const RouteName &Route) const;
   std::vector<Layer> layers(const FailureDomain &Place,
@@ -114,6 +123,7 @@
                             const RouteName &Route) const;
   void checkParents(std::vector<Error> &Faults) const;
   void checkRoutes(std::vector<Error> &Faults) const;
+  void checkMatches(std::vector<Error> &Faults) const;
   void checkReferences(const Branch &In, const RouteBranch &Route,
                        std::vector<Error> &Faults) const;
   void checkCycles(std::vector<Error> &Faults) const;
@@ -121,8 +131,11 @@
   BranchMap Branches;
   std::map<ServiceName, std::vector<const RouteBranch *>> RoutesOf;
 
-  /** Routes of services by "SERVICE/ROUTE". */
-  std::unordered_map<std::string, RouteOwner> RouteIndex;
+  /** Routes of services by service and name. */
+  HashIndex<RouteOwner> RouteIndex;
+
+  /** Some routes of services may match the same requests. */
+  bool MayRepeatMatches = false;
 };
 
 /**
--- a/src/tree/snapshot.h
+++ b/src/tree/snapshot.h
@@ -1,14 +1,12 @@
 #ifndef BLUEBELLBARROW_TREE_SNAPSHOT_H
 #define BLUEBELLBARROW_TREE_SNAPSHOT_H
 
+#include "routetable.h"
 #include "settingstree.h"
 #include "snapshotdefaults.h"
 #include "vmlist.h"
 
 #include <memory>
-#include <optional>
-#include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace bluebellbarrow {
@@ -22,32 +20,6 @@
   std::vector<Vm> Upstreams;
 };
 
-/** A part of a route's requests. */
-struct ServiceShare {
-  /** Index into Snapshot::Services. */
-  size_t Service = 0;
-
-  /** Size relative to the other parts of the route. */
-  double Weight = 1;
-};
-
-/** A route of a service. */
-struct RouteEntry {
-  RouteName Name;
-
-  /** The services that serve it; at least one. */
-  std::vector<ServiceShare> Shares;
-
-  /** Host that requests name; empty for any. */
-  std::string Host;
-
-  /** Empty for any. */
-  std::string Method;
-
-  std::string PathPrefix;
-  Policy Effective;
-};
-
 /**
  * Everything that a node needs to serve calls, compiled from one version of
  * the settings and one VM list. Every reference is closed: a route names its
@@ -64,32 +36,33 @@
   /** VMs in the list, each counted once. */
   size_t VmCount = 0;
 
-  std::vector<RouteEntry> Routes;
-
-  /** Index into Routes by host, method and path prefix. */
-  std::unordered_map<std::string, size_t> RouteIndex;
+  /** Shared by the snapshots of one version. */
+  RouteTablePtr Routes;
 
   SpreadPolicy Spread;
   CallerLimits Limits;
 
-  /**
-   * Returns the route with the longest prefix of whole segments of \a Path, or
-   * null. Among equal prefixes one that names the host comes first, then one
-   * that names the method. The time grows with the segments of the path only.
-   */
-  const RouteEntry *findRoute(const std::string &Host,
-                              const std::string &Method,
-                              const std::string &Path) const;
-
   const ServiceEntry *findService(const ServiceName &Name) const;
 };
 
-/** Compiles a snapshot as the nodes of \a Domain use it. */
-std::shared_ptr<const Snapshot>
-compileSnapshot(const SettingsTree &Tree, const VersionId &Version,
-                const std::vector<Vm> &Vms, const VersionId &VmListVersion,
-                const FailureDomain &Domain,
-                const SnapshotDefaults &Base = SnapshotDefaults());
+/** What a snapshot is compiled from. */
+struct SnapshotSource {
+  const SettingsTree &Tree;
+  VersionId Version;
+
+  /** The routes of Tree as \a Domain sees them. */
+  RouteTablePtr Routes;
+
+  const std::vector<Vm> &Vms;
+  VersionId VmListVersion;
+  FailureDomain Domain;
+
+  /** Used where the tree sets nothing. */
+  const SnapshotDefaults &Base;
+};
+
+/** Compiles a snapshot. Thread safety: safe. */
+std::shared_ptr<const Snapshot> compileSnapshot(const SnapshotSource &From);
 
 } // namespace bluebellbarrow
 
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts stand-ins and nodes on loopback addresses, for tests and benches."""
 
+import atexit
 import json
 import os
 import pathlib
@@ -88,11 +89,17 @@
         self.processes = []
         self.vms = []
         self.settings = {}
+        # A test may fail before its with-block begins.
+        atexit.register(self.end)
 
     def __enter__(self):
         return self
 
     def __exit__(self, *unused):
+        self.end()
+
+    def end(self):
+        """Ends every process; later calls have no effect."""
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
--- a/tests/tree/tree_test.cpp
+++ b/tests/tree/tree_test.cpp
@@ -1,4 +1,6 @@
 #include "golden.h"
+#include "kernel/hashing.h"
+#include "tree/routecompiler.h"
 #include "tree/snapshot.h"
 
 #include <criterion/criterion.h>
@@ -19,6 +21,33 @@
           {"place/p/a", "[policy]\nslots = 7\n[route r]\ndeadline = 3 s\n"}};
 }
 
+std::shared_ptr<const Snapshot> snapshotOf(const SettingsTreePtr &Tree,
+                                           const std::vector<Vm> &Vms) {
+  const FailureDomain Domain("p");
+  const SnapshotDefaults Base;
+  RouteCompiler Routes;
+  return compileSnapshot({.Tree = *Tree,
+                          .Version = VersionId(),
+                          .Routes = Routes.compile(Tree, Domain, Base.Calls),
+                          .Vms = Vms,
+                          .VmListVersion = VersionId(),
+                          .Domain = Domain,
+                          .Base = Base});
+}
+
+/** Parses a tree, taking branches that \a Known holds already from there. */
+SettingsTreePtr treeOf(const BranchTexts &Texts, BranchMap &Known) {
+  BranchMap Parsed;
+  for (const auto &[Path, Text] : Texts) {
+    const std::string Key = Path + "\n" + Text;
+    BranchPtr &Each = Known[Key];
+    if (Each == nullptr)
+      Each = std::make_shared<const Branch>(parseBranch(Path, Text).value());
+    Parsed.emplace(Path, Each);
+  }
+  return SettingsTree::build(std::move(Parsed)).value();
+}
+
 } // namespace
 
 Test(tree, looks_values_up_from_general_to_particular) {
@@ -90,16 +119,16 @@
                    .Service = ServiceName(Index % 3 == 0   ? "a"
                                           : Index % 3 == 1 ? "b"
                                                            : "unknown")});
-    const auto Made = compileSnapshot(*Tree.value(), VersionId(), Vms,
-                                      VersionId(), FailureDomain("p"));
+    const auto Made = snapshotOf(Tree.value(), Vms);
     cr_assert_eq(Made->Services.size(), 2);
-    for (const RouteEntry &Route : Made->Routes) {
-      cr_assert_eq(Route.Shares.size(), 1);
-      const size_t Index = Route.Shares.front().Service;
-      cr_assert_lt(Index, Made->Services.size());
-      for (const Vm &Each : Made->Services[Index].Upstreams)
-        cr_assert(Each.Service == Made->Services[Index].Name);
-    }
+    for (const RouteGroupPtr &Group : Made->Routes->groups())
+      for (const RouteEntry &Route : *Group) {
+        cr_assert_eq(Route.Shares.size(), 1);
+        const size_t Index = Route.Shares.front().Service;
+        cr_assert_lt(Index, Made->Services.size());
+        for (const Vm &Each : Made->Services[Index].Upstreams)
+          cr_assert(Each.Service == Made->Services[Index].Name);
+      }
   }
 }
 
@@ -109,10 +138,9 @@
                        "[route slash]\nmatch = GET /only/\n"
                        "[route root]\nmatch = PUT /\n";
   const auto Tree = SettingsTree::parse(Texts);
-  const auto Made = compileSnapshot(*Tree.value(), VersionId(), {}, VersionId(),
-                                    FailureDomain("p"));
+  const auto Made = snapshotOf(Tree.value(), {});
   const auto ServiceOf = [&](const char *Method, const char *Path) {
-    const RouteEntry *Route = Made->findRoute("", Method, Path);
+    const RouteEntry *Route = Made->Routes->find("", Method, Path);
     return Route == nullptr
                ? std::string("-")
                : Made->Services[Route->Shares.front().Service].Name.str();
@@ -128,3 +156,64 @@
   cr_expect_str_eq(ServiceOf("GET", "no-slash").c_str(), "-");
   cr_expect_str_eq(ServiceOf("POST", "/a").c_str(), "-");
 }
+
+Test(routecompiler, compiles_only_what_changed_or_inherits_a_change) {
+  BranchMap Known;
+  RouteCompiler Routes;
+  const SnapshotDefaults Base;
+  const auto Compile = [&](const BranchTexts &Texts) {
+    return Routes.compile(treeOf(Texts, Known), FailureDomain("p"), Base.Calls);
+  };
+  BranchTexts Texts = goodTree();
+  Texts["service/b/more"] = "[route s]\nmatch = GET /s\ndeadline = 4 s\n";
+  const RouteTablePtr First = Compile(Texts);
+  cr_assert_eq(First->groups().size(), 3);
+  cr_expect_eq(First->groups()[0], Compile(Texts)->groups()[0]);
+
+  Texts["service/b/more"] = "[route s]\nmatch = GET /s\ndeadline = 5 s\n";
+  const RouteTablePtr Second = Compile(Texts);
+  cr_expect_eq(First->groups()[0], Second->groups()[0]);
+  cr_expect_eq(First->groups()[1], Second->groups()[1]);
+  cr_expect_neq(First->groups()[2], Second->groups()[2]);
+  cr_expect_eq(First->find("", "GET", "/s")->Effective->Deadline,
+               Duration(seconds(4)));
+  cr_expect_eq(Second->find("", "GET", "/s")->Effective->Deadline,
+               Duration(seconds(5)));
+
+  Texts["place/p/a"] = "[policy]\nslots = 9\n[route r]\ndeadline = 6 s\n";
+  const RouteTablePtr Third = Compile(Texts);
+  cr_expect_eq(Third->find("", "GET", "/a")->Effective->Slots, 9);
+  cr_expect_eq(Third->find("", "GET", "/a")->Effective->Deadline,
+               Duration(seconds(6)));
+
+  Texts["service/aa"] = "[route t]\nmatch = GET /t\n";
+  const RouteTablePtr Fourth = Compile(Texts);
+  cr_expect_eq(Fourth->find("", "POST", "/b")->Shares.front().Service, 2);
+}
+
+Test(routecompiler, equal_policies_are_held_once) {
+  BranchMap Known;
+  RouteCompiler Routes;
+  BranchTexts Texts = goodTree();
+  for (int Index = 0; Index < 20; ++Index)
+    Texts["service/b"] += "[route x" + std::to_string(Index) +
+                          "]\nmatch = GET /x" + std::to_string(Index) +
+                          "\ndeadline = " + std::to_string(1 + Index % 2) +
+                          " s\n";
+  const SnapshotDefaults Base;
+  const RouteTablePtr Table =
+      Routes.compile(treeOf(Texts, Known), FailureDomain("q"), Base.Calls);
+  std::set<const Policy *> Distinct;
+  for (const RouteEntry &Each : *Table->groups().back())
+    Distinct.insert(Each.Effective.get());
+  cr_expect_eq(Distinct.size(), 2);
+}
+
+Test(digest, is_read_back_as_it_was_written) {
+  const Digest Value = digestOf("x");
+  cr_expect_eq(Digest::parse(Value.str()).value(), Value);
+  cr_expect_eq(Value.str().size(), 64);
+  for (const char *Bad : {"", "12", "g"})
+    cr_expect_not(Digest::parse(Bad).has_value());
+  cr_expect_not(Digest::parse(std::string(64, 'A')).has_value());
+}
