--- a/src/bluebellbarrow/nodecommand.cpp
+++ b/src/bluebellbarrow/nodecommand.cpp
@@ -1,6 +1,7 @@
 #include "nodecommand.h"
 
 #include "exitcodes.h"
+#include "kernel/heap.h"
 #include "kernel/log.h"
 #include "kernel/signalwatch.h"
 #include "plugins/metrics/metrics.h"
@@ -65,6 +66,7 @@
 } // namespace
 
 int runNode(const std::string &GivenPath) {
+  returnFreedMemory();
   const std::string Path = settingsPath(GivenPath);
   const Result<NodeSettings> Settings = readNodeSettings(Path, defaultKeys());
   if (!Settings) {
--- a/src/plugins/platform/storemirror.cpp
+++ b/src/plugins/platform/storemirror.cpp
@@ -1,5 +1,6 @@
 #include "storemirror.h"
 
+#include "kernel/hashing.h"
 #include "kernel/log.h"
 
 #include <algorithm>
@@ -74,8 +75,10 @@
 }
 
 bool StoreMirror::takeConfig(const StoreItem &Item) {
-  if (!Item.Value || Item.Revision <= this->ConfigRevision ||
-      *Item.Value == this->ConfigValue)
+  if (!Item.Value || Item.Revision <= this->ConfigRevision)
+    return false;
+  const Digest Hash = digestOf(*Item.Value);
+  if (Hash == this->ConfigHash)
     return false;
   const Result<StoredConfig> Read =
       this->Schema.readConfig(*Item.Value, this->Mesh);
@@ -90,7 +93,7 @@
   this->OldParts = std::move(this->Parts);
   this->Parts = std::move(New);
   this->Manifest = toManifest(Made);
-  this->ConfigValue = *Item.Value;
+  this->ConfigHash = Hash;
   this->ConfigRevision = Item.Revision;
   return true;
 }
--- a/src/plugins/platform/storemirror.h
+++ b/src/plugins/platform/storemirror.h
@@ -76,7 +76,9 @@
   /** Keys of the targets seen on the pages of the current reading. */
   std::map<std::string, Vm> Paged;
 
-  std::string ConfigValue;
+  /** Digest of the configuration's value. */
+  Digest ConfigHash;
+
   std::string Manifest;
   PartsByDigest Parts;
   PartsByDigest OldParts;
