--- a/src/kernel/inifile.cpp
+++ b/src/kernel/inifile.cpp
@@ -5,7 +5,6 @@
 #include <fstream>
 #include <ini.h>
 #include <optional>
-#include <set>
 #include <sstream>
 
 namespace bluebellbarrow {
@@ -17,7 +16,10 @@
   IniFile File;
   std::string_view Rest;
   int Line = 0;
-  std::set<std::string> Keys;
+
+  /** Index of the first entry of the section that is being read. */
+  size_t SectionStart = 0;
+
   std::optional<Error> Failure;
 };
 
@@ -74,7 +76,16 @@
       .Section = Section, .Key = Key, .Value = Value, .Line = State.Line};
   if (Entry.Section.empty())
     fail(State, Errc::BadSyntax, "key '" + Entry.Key + "' is in no section");
-  if (!State.Keys.insert(Entry.Section + '\n' + Entry.Key).second)
+  std::vector<IniEntry> &Entries = State.File.Entries;
+  if (Entries.empty() || Entries.back().Section != Entry.Section)
+    State.SectionStart = Entries.size();
+  // No section stands twice, so only its own entries can repeat a key.
+  const bool Repeats =
+      std::any_of(Entries.begin() + static_cast<ptrdiff_t>(State.SectionStart),
+                  Entries.end(), [&Entry](const IniEntry &Each) {
+                    return Each.Key == Entry.Key;
+                  });
+  if (Repeats)
     fail(State, Errc::Duplicate,
          "key '" + Entry.Key + "' stands twice in [" + Entry.Section + "]");
   State.File.Entries.push_back(std::move(Entry));
@@ -92,7 +103,6 @@
   Parse State{.File = {.Name = Name, .Sections = {}, .Entries = {}},
               .Rest = Text,
               .Line = 0,
-              .Keys = {},
               .Failure = {}};
   const int BadLine = ini_parse_stream(readLine, &State, storeEntry, &State);
   if (State.Failure)
--- a/src/kernel/nodesettings.cpp
+++ b/src/kernel/nodesettings.cpp
@@ -77,12 +77,6 @@
   return std::string(Spec.Section) + "/" + Spec.Key;
 }
 
-bool isOwn(const KeySpec &Spec) {
-  return std::any_of(Keys.begin(), Keys.end(), [&Spec](const KeySpec &Each) {
-    return idOf(Each) == idOf(Spec);
-  });
-}
-
 std::vector<std::string> splitList(const std::string &Text) {
   std::vector<std::string> Items;
   std::istringstream Stream(Text);
@@ -221,14 +215,16 @@
     if (Base)
       Found[idOf(Spec)] = {.Text = Default, .Base = Base.value()};
   }
-  std::vector<KeySpec> Allowed(Keys.begin(), Keys.end());
-  Allowed.insert(Allowed.end(), Extra.begin(), Extra.end());
+  std::vector<KeySpec> All(Keys.begin(), Keys.end());
+  All.insert(All.end(), Extra.begin(), Extra.end());
+  const KeyTable Allowed(std::move(All));
   std::vector<SettingsOverride> Overrides;
   const auto Checked =
       checkEntries(File.value(), Allowed,
-                   [&](const KeySpec &Spec, const IniEntry &Entry,
+                   [&](size_t Index, const IniEntry &Entry,
                        double Base) -> Result<std::monostate> {
-                     if (!isOwn(Spec)) {
+                     const KeySpec &Spec = Allowed[Index];
+                     if (Index >= Keys.size()) {
                        Overrides.push_back({.Section = Spec.Section,
                                             .Key = Spec.Key,
                                             .Text = Entry.Value,
--- a/src/kernel/schema.cpp
+++ b/src/kernel/schema.cpp
@@ -1,9 +1,12 @@
 #include "schema.h"
 
+#include "hashing.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstring>
+#include <span>
 
 namespace bluebellbarrow {
 
@@ -69,19 +72,10 @@
   return Value;
 }
 
-bool hasKind(std::span<const KeySpec> Specs, const std::string &Kind) {
-  return std::any_of(Specs.begin(), Specs.end(), [&Kind](const KeySpec &Spec) {
-    return Kind == Spec.Section;
-  });
-}
-
-const KeySpec *findSpec(std::span<const KeySpec> Specs, const std::string &Kind,
-                        const std::string &Key) {
-  const auto Found =
-      std::find_if(Specs.begin(), Specs.end(), [&](const KeySpec &Spec) {
-        return Kind == Spec.Section && Key == Spec.Key;
-      });
-  return Found == Specs.end() ? nullptr : &*Found;
+/** Returns a hash of a key and its section. */
+uint64_t keyHash(std::string_view Section, std::string_view Key) {
+  constexpr uint64_t SectionFactor = 0x9e3779b97f4a7c15;
+  return stableHash(Section) * SectionFactor + stableHash(Key);
 }
 
 Error atLine(const IniFile &File, const IniEntry &Entry, const Error &Cause) {
@@ -111,7 +105,7 @@
   return "";
 }
 
-std::string sectionKind(const std::string &Section) {
+std::string_view sectionKind(std::string_view Section) {
   return Section.substr(0, Section.find(' '));
 }
 
@@ -132,25 +126,46 @@
   return 0.0;
 }
 
-Result<std::monostate>
-checkEntries(const IniFile &File, std::span<const KeySpec> Specs,
-             const std::function<Result<std::monostate>(
-                 const KeySpec &, const IniEntry &, double)> &Store) {
+KeyTable::KeyTable(std::vector<KeySpec> NewSpecs) : Specs(std::move(NewSpecs)) {
+  for (size_t Number = 0; Number < this->Specs.size(); ++Number)
+    this->Index.add(
+        keyHash(this->Specs[Number].Section, this->Specs[Number].Key), Number);
+  this->Index.finish();
+}
+
+std::optional<size_t> KeyTable::find(std::string_view Section,
+                                     std::string_view Key) const {
+  const size_t *Found =
+      this->Index.find(keyHash(Section, Key), [&](size_t Number) {
+        const KeySpec &Each = this->Specs[Number];
+        return Each.Section == Section && Each.Key == Key;
+      });
+  return Found == nullptr ? std::nullopt : std::optional(*Found);
+}
+
+bool KeyTable::hasSection(std::string_view Section) const {
+  return std::any_of(
+      this->Specs.begin(), this->Specs.end(),
+      [Section](const KeySpec &Each) { return Each.Section == Section; });
+}
+
+Result<std::monostate> checkEntries(const IniFile &File, const KeyTable &Keys,
+                                    const StoreEntry &Store) {
   for (const std::string &Section : File.Sections)
-    if (!hasKind(Specs, sectionKind(Section)))
+    if (!Keys.hasSection(sectionKind(Section)))
       return makeError(Errc::UnknownKey, File.Name, "",
                        "section [" + Section + "] has no place here");
 
   for (const IniEntry &Entry : File.Entries) {
-    const KeySpec *Spec =
-        findSpec(Specs, sectionKind(Entry.Section), Entry.Key);
-    if (Spec == nullptr)
+    const std::optional<size_t> Index =
+        Keys.find(sectionKind(Entry.Section), Entry.Key);
+    if (!Index)
       return lineError(Errc::UnknownKey, File.Name, Entry.Line,
                        "key '" + Entry.Key + "' in [" + Entry.Section + "]");
-    const Result<double> Value = parseValue(*Spec, Entry.Value);
+    const Result<double> Value = parseValue(Keys[*Index], Entry.Value);
     if (!Value)
       return atLine(File, Entry, Value.error());
-    const Result<std::monostate> Stored = Store(*Spec, Entry, Value.value());
+    const Result<std::monostate> Stored = Store(*Index, Entry, Value.value());
     if (!Stored)
       return atLine(File, Entry, Stored.error());
   }
--- a/src/kernel/schema.h
+++ b/src/kernel/schema.h
@@ -3,12 +3,15 @@
 
 #include "clock.h"
 #include "error.h"
+#include "hashindex.h"
 #include "inifile.h"
 
 #include <cstdint>
 #include <functional>
-#include <span>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace bluebellbarrow {
 
@@ -44,20 +47,44 @@
 Result<double> parseValue(const KeySpec &Spec, const std::string &Text);
 
 /**
- * Checks every section and key of \a File against \a Specs and calls \a Store
- * for each entry with its value in the base unit. A section name before the
- * first space selects the specs, so "[route NAME]" is checked as "route".
+ * The keys that a file may hold, found by section and key.
+ *
+ * Thread safety: immutable, safe.
+ */
+class KeyTable {
+public:
+  explicit KeyTable(std::vector<KeySpec> Specs);
+
+  /** Returns the index of a key, or nothing. */
+  std::optional<size_t> find(std::string_view Section,
+                             std::string_view Key) const;
+
+  bool hasSection(std::string_view Section) const;
+
+  const KeySpec &operator[](size_t Index) const { return this->Specs[Index]; }
+
+private:
+  std::vector<KeySpec> Specs;
+  HashIndex<size_t> Index;
+};
+
+/** Takes a checked entry: index of its key, and value in the base unit. */
+using StoreEntry =
+    std::function<Result<std::monostate>(size_t, const IniEntry &, double)>;
+
+/**
+ * Checks every section and key of \a File against \a Keys and calls \a Store
+ * for each entry. A section name before the first space selects the keys, so
+ * "[route NAME]" is checked as "route".
  *
  * Errors: the first fault, with file, line and key; \a Store may have been
  * called before. Thread safety: safe.
  */
-Result<std::monostate>
-checkEntries(const IniFile &File, std::span<const KeySpec> Specs,
-             const std::function<Result<std::monostate>(
-                 const KeySpec &, const IniEntry &, double)> &Store);
+Result<std::monostate> checkEntries(const IniFile &File, const KeyTable &Keys,
+                                    const StoreEntry &Store);
 
 /** Returns "kind" of a section named "kind name". Thread safety: safe. */
-std::string sectionKind(const std::string &Section);
+std::string_view sectionKind(std::string_view Section);
 
 /** Returns "name" of a section named "kind name", or nothing. */
 std::string sectionName(const std::string &Section);
--- a/src/plugins/spread/controllinks.cpp
+++ b/src/plugins/spread/controllinks.cpp
@@ -62,7 +62,9 @@
 
 void ControlLinks::send(const Address &To, const ControlMessage &Message,
                         TimePoint Now) {
-  const Frame Value = toFrame(Message);
+  const auto *Transfer = std::get_if<TransferMessage>(&Message);
+  const Frame Value = Transfer != nullptr ? this->Transfers.frameOf(*Transfer)
+                                          : toFrame(Message);
   const StreamId Stream = this->streamTo(To, Now);
   this->Links[Stream].LastUse = Now;
   this->Events.Counted(true, controlMessageName(Message),
--- a/src/plugins/spread/controllinks.h
+++ b/src/plugins/spread/controllinks.h
@@ -5,6 +5,7 @@
 #include "kernel/datagramsocket.h"
 #include "kernel/frametransport.h"
 #include "spreadmessages.h"
+#include "transferframes.h"
 
 #include <functional>
 #include <map>
@@ -69,6 +70,7 @@
   ControlEvents Events;
   FrameTransport Streams;
   DatagramSocket Datagrams;
+  TransferFrames Transfers;
   std::map<StreamId, Link> Links;
   std::map<Address, StreamId> ByPeer;
 
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -129,6 +129,7 @@
 }
 
 void Spread::onGoodRead(TimePoint Now) {
+  this->HasRead = true;
   const std::optional<Duration> Before = this->Schedule.goodAge(Now);
   this->Schedule.onGoodRead(Now);
   // News of a read are worth a digest only once others begin to wait for them.
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -198,6 +198,9 @@
   bool waitsForSeeds(TimePoint Now) const;
   bool isSeed() const;
   void askSeed(TimePoint Now);
+  void noteSeed(const DigestMessage &Message, TimePoint Now);
+  void tellOthersThatStart(TimePoint Now);
+  int64_t mostTransfers() const;
   void settle(const std::string &Cause, TimePoint Now);
   void pollReads(TimePoint Now);
   void delayRead(Watch &Read, TimePoint Now);
@@ -244,8 +247,11 @@
   /** Time between the last two questions of this start to its seeds. */
   Duration BootAsk{};
 
-  /** When a node was heard last. */
-  std::optional<TimePoint> LastHeard;
+  /** When a seed was heard last that has a version, or will have it soon. */
+  std::optional<TimePoint> Promise;
+
+  /** This life of the process has read the platform. */
+  bool HasRead = false;
 
   TimePoint HoldUntil;
   TimePoint TransferWindow;
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -19,12 +19,12 @@
 
 /** First and longest time between two questions of a start to its seeds. */
 constexpr Duration FirstBootAsk = milliseconds(50);
-constexpr Duration LongestBootAsk = milliseconds(400);
+constexpr Duration LongestBootAsk = milliseconds(200);
 
 /** Time between two questions to seeds while no node is listed. */
 constexpr Duration UnlistedAsk = milliseconds(500);
 
-/** Time for which a seed that answered counts as present. */
+/** Time for which the answer of a seed counts as a promise of a version. */
 constexpr Duration SeedPresence = milliseconds(600);
 
 /** Longest time for which a start waits for what its seeds read. */
@@ -32,7 +32,17 @@
 
 constexpr Duration ReadGrace = seconds(2);
 constexpr Duration TransferWindowLength = milliseconds(250);
-constexpr uint32_t BusyRetryMs = 300;
+constexpr uint32_t BusyRetryMs = 200;
+
+/** Multiple of the transfers that a node with a wide link serves at once. */
+constexpr int64_t QuickTransfers = 4;
+
+/** Bytes from which on a transfer counts against that number. */
+constexpr size_t LargeTransferBytes = size_t{16} * 1024;
+
+/** Nodes that are told of a version that a start has read. */
+constexpr size_t ToldOfStart = 32;
+
 constexpr size_t AskedInside = 6;
 constexpr size_t AskedOutside = 6;
 
@@ -41,6 +51,13 @@
 
 constexpr size_t MaxNewsInDigest = 4;
 
+bool isLarge(const TransferMessage &Message) {
+  size_t Bytes = 0;
+  for (const std::string &Each : Message.Texts)
+    Bytes += Each.size();
+  return Bytes >= LargeTransferBytes;
+}
+
 } // namespace
 
 void Spread::onMessage(const Address &From, const ControlMessage &Message,
@@ -96,6 +113,11 @@
               From.str(), Version.error().message());
 }
 
+int64_t Spread::mostTransfers() const {
+  const int64_t Most = this->Tuning.MaxTransfers;
+  return this->Options.ReadsSlowly ? Most : Most * QuickTransfers;
+}
+
 void Spread::onPull(const Address &From, const PullMessage &Message,
                     TimePoint Now) {
   const CatalogStore &Store = this->store(Message.Kind);
@@ -105,12 +127,12 @@
     return;
   }
   TransferMessage Transfer = Store.transferFrom(Message.Have);
-  if (Transfer.Base.none()) {
+  if (isLarge(Transfer)) {
     if (Now - this->TransferWindow >= TransferWindowLength) {
       this->TransferWindow = Now;
       this->TransfersInWindow = 0;
     }
-    if (this->TransfersInWindow >= this->Tuning.MaxTransfers) {
+    if (this->TransfersInWindow >= this->mostTransfers()) {
       Busy.Other = this->LastServed == From ? Address() : this->LastServed;
       this->Actions.emplace_back(SendControl{From, Busy});
       return;
@@ -140,7 +162,7 @@
     this->sendDigest(From, DigestPurpose::Answer, Now);
   if (Message.Sender.Name.empty() || Message.Sender.Name == this->Options.Self)
     return;
-  this->LastHeard = Now;
+  this->noteSeed(Message, Now);
 
   this->HoldUntil = std::min(this->HoldUntil, Now);
   this->mergeAnnouncement(Message.Sender, From, Now);
@@ -238,6 +260,7 @@
     this->Boot.settle();
     this->settle("has a version and a list", Now);
     this->announceOwn(Now);
+    this->tellOthersThatStart(Now);
     return;
   }
   if (Now >= this->NextAsk) {
@@ -251,6 +274,20 @@
     this->startRead(Kind, this->Tuning.WatchWait, Now);
 }
 
+void Spread::tellOthersThatStart(TimePoint Now) {
+  // Only one that read it itself: the others asked the same nodes as we did.
+  if (!this->HasRead)
+    return;
+  const std::vector<Vm> &Members = this->Nodes.domainMembers();
+  const size_t First = this->Random() % std::max<size_t>(1, Members.size());
+  for (size_t Count = 0; Count < std::min(ToldOfStart, Members.size());
+       ++Count) {
+    const Vm &Each = Members[(First + Count) % Members.size()];
+    if (Each.Name != this->Options.Self)
+      this->sendDigest(Each.Ip, DigestPurpose::ReadNews, Now);
+  }
+}
+
 void Spread::askSeed(TimePoint Now) {
   std::vector<Address> Others = this->Options.Seeds;
   std::erase(Others, this->Options.Ip);
@@ -269,13 +306,19 @@
                    this->Options.Ip) != this->Options.Seeds.end();
 }
 
+void Spread::noteSeed(const DigestMessage &Message, TimePoint Now) {
+  // One that has no version yet reads it, but that may take it longer than us.
+  const bool Helps = !Message.Versions[0].none() || this->Options.ReadsSlowly ||
+                     !Message.Sender.ReadsSlowly;
+  if (Helps)
+    this->Promise = Now;
+}
+
 bool Spread::waitsForSeeds(TimePoint Now) const {
   const Duration Waited = Now - this->Started;
   if (Waited < this->Options.BootSilence)
     return true;
-  // A seed that answers has a version, or reads it itself.
-  const bool Promised =
-      this->LastHeard && Now - *this->LastHeard < SeedPresence;
+  const bool Promised = this->Promise && Now - *this->Promise < SeedPresence;
   return !this->isSeed() && Promised && Waited < LongestSeedWait;
 }
 
--- a/src/tree/branch.cpp
+++ b/src/tree/branch.cpp
@@ -13,7 +13,7 @@
 
 constexpr size_t MaxNameLength = 63;
 
-const std::array<KeySpec, 6> OwnKeys = {{
+const std::array<KeySpec, 7> OwnKeys = {{
     {"mesh", "name", KeyType::Text, 1, MaxNameLength, "", "name of the mesh"},
     {"service", "about", KeyType::Text, 0, 150, "", "what the service is for"},
     {"route", "match", KeyType::Text, 1, 150, "",
@@ -22,6 +22,7 @@
     {"route", "split", KeyType::Text, 1, 180, "",
      "services that share the requests, as 'NAME WEIGHT, NAME WEIGHT'"},
     {"route", "calls", KeyType::Text, 0, 150, "", "services that it calls"},
+    {"place", "about", KeyType::Text, 0, 150, "", "what the place is"},
 }};
 
 struct SectionRule {
@@ -47,7 +48,7 @@
     {BranchKind::PlaceService, "route"},
 }};
 
-bool mayHold(BranchKind Kind, const std::string &Section) {
+bool mayHold(BranchKind Kind, std::string_view Section) {
   return std::any_of(SectionRules.begin(), SectionRules.end(),
                      [&](const SectionRule &Rule) {
                        return Rule.Kind == Kind && Section == Rule.Section;
@@ -96,32 +97,60 @@
   return true;
 }
 
-const std::vector<KeySpec> &allKeys() {
-  static const std::vector<KeySpec> Keys = [] {
-    std::vector<KeySpec> All(OwnKeys.begin(), OwnKeys.end());
-    for (const auto &Field : policyFields()) {
-      All.push_back(Field.Key);
-      All.push_back(Field.Key);
-      All.back().Section = "route";
-    }
-    for (const auto &Field : spreadFields())
-      All.push_back(Field.Key);
-    for (const auto &Field : limitFields())
-      All.push_back(Field.Key);
-    All.push_back(
-        {"place", "about", KeyType::Text, 0, 150, "", "what the place is"});
+/** What an entry sets. */
+enum class EntryKind { Own, Policy, RoutePolicy, Spread, Limits };
+
+/** The meaning of a key. */
+struct KeyMeaning {
+  EntryKind Kind = EntryKind::Own;
+
+  /** Index into the table of the kind's fields. */
+  size_t Field = 0;
+};
+
+/** Every key of a branch with its meaning. */
+class BranchKeys {
+public:
+  static const BranchKeys &instance() {
+    static const BranchKeys Only;
+    return Only;
+  }
+
+  const KeyTable &table() const { return this->Table; }
+
+  const KeyMeaning &meaning(size_t Index) const {
+    return this->Meanings[Index];
+  }
+
+private:
+  BranchKeys() : Table(this->collect()) {}
+
+  std::vector<KeySpec> collect() {
+    std::vector<KeySpec> All;
+    const auto Add = [&](KeySpec Spec, KeyMeaning Meaning) {
+      All.push_back(Spec);
+      this->Meanings.push_back(Meaning);
+    };
+    const auto AddFields = [&](const auto &Fields, EntryKind Kind) {
+      for (size_t Field = 0; Field < Fields.size(); ++Field) {
+        KeySpec Spec = Fields[Field].Key;
+        if (Kind == EntryKind::RoutePolicy)
+          Spec.Section = "route";
+        Add(Spec, {.Kind = Kind, .Field = Field});
+      }
+    };
+    for (const KeySpec &Each : OwnKeys)
+      Add(Each, {});
+    AddFields(policyFields(), EntryKind::Policy);
+    AddFields(policyFields(), EntryKind::RoutePolicy);
+    AddFields(spreadFields(), EntryKind::Spread);
+    AddFields(limitFields(), EntryKind::Limits);
     return All;
-  }();
-  return Keys;
-}
+  }
 
-template <typename Fields>
-size_t fieldIndex(const Fields &Table, const std::string &Key) {
-  const auto Found =
-      std::find_if(Table.begin(), Table.end(),
-                   [&Key](const auto &Field) { return Key == Field.Key.Key; });
-  return static_cast<size_t>(Found - Table.begin());
-}
+  std::vector<KeyMeaning> Meanings;
+  KeyTable Table;
+};
 
 Result<std::monostate> storeMatch(RouteBranch &Route, const IniEntry &Entry) {
   static const std::array<const char *, 8> Methods = {
@@ -197,6 +226,9 @@
 }};
 
 RouteBranch &routeOf(Branch &Target, const std::string &Name) {
+  // The entries of a route follow each other.
+  if (!Target.Routes.empty() && Target.Routes.back().Name.str() == Name)
+    return Target.Routes.back();
   for (RouteBranch &Each : Target.Routes)
     if (Each.Name.str() == Name)
       return Each;
@@ -204,49 +236,70 @@
   return Target.Routes.back();
 }
 
-Result<std::monostate> storeRoute(Branch &Target, const IniEntry &Entry,
-                                  double Base) {
+/** Returns the route that an entry belongs to. */
+Result<RouteBranch *> routeFor(Branch &Target, const IniEntry &Entry) {
   const std::string Name = sectionName(Entry.Section);
   if (!isName(Name))
     return makeError(Errc::BadValue, "", "",
                      "'" + Name + "' is not the name of a route");
-  RouteBranch &Route = routeOf(Target, Name);
+  return &routeOf(Target, Name);
+}
+
+/** Stores a key of a route that is not part of its policy. */
+Result<std::monostate> storeOwnOfRoute(Branch &Target, RouteBranch &Route,
+                                       const IniEntry &Entry) {
+  Route.Line = Entry.Line;
+  if (Target.Kind == BranchKind::PlaceService)
+    return makeError(Errc::UnknownKey, "", "", "a place can't change it");
   const auto Own = std::find_if(
       RouteKeys.begin(), RouteKeys.end(),
       [&Entry](const RouteKey &Each) { return Entry.Key == Each.Key; });
-  if (Route.Line == 0 || Own != RouteKeys.end())
-    Route.Line = Entry.Line;
-  if (Own != RouteKeys.end() && Target.Kind == BranchKind::PlaceService)
-    return makeError(Errc::UnknownKey, "", "", "a place can't change it");
-  if (Own != RouteKeys.end())
-    return Own->Store(Route, Entry);
-  Route.Policy.push_back({.Field = fieldIndex(policyFields(), Entry.Key),
-                          .Text = Entry.Value,
-                          .Base = Base,
-                          .Line = Entry.Line});
-  return std::monostate();
+  return Own->Store(Route, Entry);
 }
 
-Result<std::monostate> storeEntry(Branch &Target, const KeySpec &Spec,
-                                  const IniEntry &Entry, double Base) {
-  const std::string Kind = Spec.Section;
-  Override Value{
-      .Field = 0, .Text = Entry.Value, .Base = Base, .Line = Entry.Line};
-  if (Kind == "route")
-    return storeRoute(Target, Entry, Base);
-  if (Kind == "mesh")
+/** Stores a key that is no setting of a policy, of the spread or of limits. */
+Result<std::monostate> storeOwn(Branch &Target, const KeySpec &Spec,
+                                const IniEntry &Entry) {
+  const std::string_view Section = Spec.Section;
+  if (Section == "mesh")
     Target.MeshName = Entry.Value;
-  if (Kind == "policy") {
-    Value.Field = fieldIndex(policyFields(), Entry.Key);
-    Target.Policy.push_back(Value);
-  }
-  if (Kind == "spread") {
-    Value.Field = fieldIndex(spreadFields(), Entry.Key);
-    Target.Spread.push_back(Value);
+  if (Section != "route")
+    return std::monostate();
+  const Result<RouteBranch *> Route = routeFor(Target, Entry);
+  if (!Route)
+    return Route.error();
+  return storeOwnOfRoute(Target, *Route.value(), Entry);
+}
+
+Result<std::monostate> storeEntry(Branch &Target, size_t Key,
+                                  const IniEntry &Entry, double Base) {
+  const BranchKeys &Keys = BranchKeys::instance();
+  const KeyMeaning &Meaning = Keys.meaning(Key);
+  Override Value{.Field = Meaning.Field,
+                 .Text = Entry.Value,
+                 .Base = Base,
+                 .Line = Entry.Line};
+  switch (Meaning.Kind) {
+  case EntryKind::Own:
+    return storeOwn(Target, Keys.table()[Key], Entry);
+  case EntryKind::Policy:
+    Target.Policy.push_back(std::move(Value));
+    break;
+  case EntryKind::Spread:
+    Target.Spread.push_back(std::move(Value));
+    break;
+  case EntryKind::Limits:
+    Target.Limits.push_back(std::move(Value));
+    break;
+  case EntryKind::RoutePolicy: {
+    const Result<RouteBranch *> Route = routeFor(Target, Entry);
+    if (!Route)
+      return Route.error();
+    if (Route.value()->Line == 0)
+      Route.value()->Line = Entry.Line;
+    Route.value()->Policy.push_back(std::move(Value));
+    break;
   }
-  if (Kind == "limits") {
-    Value.Field = fieldIndex(limitFields(), Entry.Key);
-    Target.Limits.push_back(Value);
   }
   return std::monostate();
 }
@@ -254,7 +307,7 @@
 Result<std::monostate> checkSections(const Branch &Target,
                                      const IniFile &File) {
   for (const std::string &Section : File.Sections) {
-    const std::string Kind = sectionKind(Section);
+    const std::string_view Kind = sectionKind(Section);
     if (!mayHold(Target.Kind, Kind))
       return makeError(Errc::UnknownKey, File.Name, "",
                        "section [" + Section + "] has no place here");
@@ -281,11 +334,11 @@
   const auto Sections = checkSections(Target, File.value());
   if (!Sections)
     return Sections.error();
-  const auto Checked = checkEntries(
-      File.value(), allKeys(),
-      [&Target](const KeySpec &Spec, const IniEntry &Entry, double Base) {
-        return storeEntry(Target, Spec, Entry, Base);
-      });
+  const auto Checked =
+      checkEntries(File.value(), BranchKeys::instance().table(),
+                   [&Target](size_t Key, const IniEntry &Entry, double Base) {
+                     return storeEntry(Target, Key, Entry, Base);
+                   });
   if (!Checked)
     return Checked.error();
   if (Target.Kind == BranchKind::Mesh && Target.MeshName.empty())
--- /dev/null
+++ b/tests/plugins/transferframes_test.cpp
@@ -0,0 +1,33 @@
+#include "plugins/spread/controlcodec.h"
+#include "plugins/spread/transferframes.h"
+
+#include <criterion/criterion.h>
+
+using namespace bluebellbarrow; // NOLINT: test
+
+namespace {
+
+TransferMessage transfer(uint64_t Number, bool Pushed) {
+  return {.Kind = ItemKind::Config,
+          .Version = {.Number = VersionNumber(Number), .Hash = Digest()},
+          .Pushed = Pushed,
+          .Texts = {"text of version " + std::to_string(Number)}};
+}
+
+} // namespace
+
+Test(transferframes, each_message_gets_its_own_frame) {
+  TransferFrames Frames;
+  for (int Round = 0; Round < 3; ++Round)
+    for (uint64_t Number = 1; Number < 10; ++Number)
+      for (const bool Pushed : {false, true}) {
+        const auto Message =
+            fromFrame(Frames.frameOf(transfer(Number, Pushed)));
+        cr_assert(Message.has_value());
+        const auto &Read = std::get<TransferMessage>(*Message);
+        cr_expect_eq(Read.Version.Number.value(), Number);
+        cr_expect_eq(Read.Pushed, Pushed);
+        cr_expect_eq(Read.Texts.front(),
+                     "text of version " + std::to_string(Number));
+      }
+}
