--- a/src/plugins/admission/admission.cpp
+++ b/src/plugins/admission/admission.cpp
@@ -12,16 +12,13 @@
 /** Share of the usual time that a request is expected to run at least on. */
 constexpr double LeastRemaining = 0.2;
 
-/** Share of its time left that a request may wait to be answered late. */
-constexpr double LateWaitShare = 0.33;
-
 /** Least share of the slots that a forecast leaves to a rank. */
 constexpr double LeastShare = 0.05;
 
 } // namespace
 
-Admission::Admission(AdmissionLimits Limits)
-    : Limits(Limits), Seen(SeenMemory) {}
+Admission::Admission(AdmissionLimits Limits, AdmissionTuning Tuning)
+    : Limits(Limits), Tuning(Tuning), Seen(SeenMemory) {}
 
 bool Admission::mayStart(int64_t Priority, TimePoint Now) const {
   return !this->Draining && Now >= this->Hold &&
@@ -105,7 +102,7 @@
 AdmitResult Admission::judgeWait(const WaitingRequest &Request, TimePoint Now) {
   const Duration Wait = this->expectedWait(Request, Now);
   const auto Longest = std::chrono::duration_cast<Duration>(
-      (Request.Deadline - Now - Request.Work) * LateWaitShare);
+      (Request.Deadline - Now - Request.Work) * this->Tuning.LateWaitShare);
   const bool InTime = Now + Wait + Request.Work <= Request.Aim;
   if (!InTime && Wait > Longest)
     return this->turnAway(Request, "would wait too long",
--- a/src/plugins/admission/admission.h
+++ b/src/plugins/admission/admission.h
@@ -22,6 +22,12 @@
   size_t Queue = 10;
 };
 
+/** Tuning of an Admission. */
+struct AdmissionTuning {
+  /** Share of its time left that a request may wait to be answered late. */
+  double LateWaitShare = 0.1;
+};
+
 /** A request that asks for the target. */
 struct AdmissionRequest {
   RequestKey Key;
@@ -64,6 +70,9 @@
   bool Start = false;
 
   std::string Reason;
+
+  /** Time after which one that was given up may find room. */
+  Duration RetryAfter{};
 };
 
 /**
@@ -78,7 +87,8 @@
  */
 class Admission {
 public:
-  explicit Admission(AdmissionLimits Limits);
+  explicit Admission(AdmissionLimits Limits,
+                     AdmissionTuning Tuning = AdmissionTuning());
 
   void setLimits(const AdmissionLimits &New) { this->Limits = New; }
 
@@ -117,6 +127,11 @@
 
   const AdmissionLimits &limits() const { return this->Limits; }
 
+  /** Returns the target's usual time for a route, once it is known. */
+  std::optional<Duration> usualRun(const RouteName &Route) const {
+    return this->Works.mean(Route);
+  }
+
   /** Returns the time that a request which goes last would wait. */
   Duration lastWait(TimePoint Now) const;
 
@@ -143,6 +158,7 @@
                      Duration RetryAfter, TimePoint Now);
 
   AdmissionLimits Limits;
+  AdmissionTuning Tuning;
   SeenRequests Seen;
   WaitingLine Line;
   WorkEstimate Works;
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -103,6 +103,10 @@
                [this](const VmName &Name, const LoadReport &Load) {
                  this->Routes.onLoad(Name, Load, Task::now());
                },
+           .Silent =
+               [this](const VmName &Name, bool Silent) {
+                 this->Routes.onSilent(Name, Silent);
+               },
            .Malformed =
                [this](const Error &Failure) {
                  logError(LogLevel::Warning, Failure);
@@ -289,6 +293,7 @@
   Target.Upstream = Action.Upstream;
   Target.Message.Number = Number;
   Target.Message.Target = Action.Upstream.Target;
+  Target.Message.TargetBorn = Action.Upstream.Born;
   Target.Message.Remaining = microsUntil(Target.Deadline, Now);
   Target.Message.AimRemaining = microsUntil(Target.Aim, Now);
   this->Counters.add(Metric::Attempts, Action.Attempt == 1 ? "first" : "retry");
@@ -397,10 +402,14 @@
   if (Reply.Result == Outcome::Answered) {
     Target.Answer = Reply.Answer;
     Target.Upstream = Known.Upstream;
+    std::optional<Duration> Usual;
+    if (Reply.UsualMicros > 0)
+      Usual = microseconds(Reply.UsualMicros);
     this->Routes.onRun(Known.Upstream.id(),
                        {.Route = Target.Message.Route,
                         .Aim = Target.Aim - Target.Began,
                         .Took = microseconds(Reply.RunMicros),
+                        .Usual = Usual,
                         .Bytes = Reply.Answer.Body.size()});
   }
   this->forgetAttempt(Target, Known.Index);
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -98,8 +98,10 @@
   if (Entry == nullptr)
     return;
   const Vm *Own = findOwn(*Entry, this->Self);
-  if (Own != nullptr)
+  if (Own != nullptr) {
     this->Listed = Own->Target;
+    this->ListedBorn = Own->Born;
+  }
   const Policy &Rules = Entry->Effective;
   const int64_t Wanted =
       Own != nullptr && Own->Slots > 0 ? Own->Slots : Rules.Slots;
@@ -174,8 +176,6 @@
     return "not ready";
   if (Message.Service != this->Service)
     return "another service runs here";
-  if (!Message.Target.empty() && Message.Target != this->Listed)
-    return "another target runs here";
   if (this->holdsTooMuch(Message))
     return "the node holds too many bytes";
   return nullptr;
@@ -239,6 +239,14 @@
                       static_cast<uint32_t>(toMicroseconds(RetryAfter))});
 }
 
+const TargetId &
+UpstreamCalls::expectedTarget(const RequestMessage &Message) const {
+  // Whoever knows the later start has the newer list.
+  const bool SenderKnowsLater =
+      !Message.Target.empty() && Message.TargetBorn > this->ListedBorn;
+  return SenderKnowsLater ? Message.Target : this->Listed;
+}
+
 HttpRequest UpstreamCalls::targetRequest(const Call &Of, TimePoint Now) const {
   const CallHeaderNames &Names = this->Dialect.names();
   HttpRequest Request = Of.Message.Call;
@@ -250,7 +258,8 @@
   setProperty(Headers, Names.Remaining,
               std::to_string(std::max<int64_t>(1, Left)));
   setProperty(Headers, Names.CallerService, Of.Message.Caller.str());
-  setProperty(Headers, Names.ExpectedTarget, this->Listed.str());
+  setProperty(Headers, Names.ExpectedTarget,
+              this->expectedTarget(Of.Message).str());
   setProperty(Headers, Names.Depth, std::to_string(Of.Message.Depth));
   setProperty(Headers, Names.Route, Of.Message.Route.str());
   return Request;
@@ -334,6 +343,9 @@
   if (Found != this->Calls.end()) {
     const Duration Took = Now - Found->second.Started;
     Message.RunMicros = static_cast<uint32_t>(toMicroseconds(Took));
+    const Duration Usual =
+        this->Gate.usualRun(Found->second.Message.Route).value_or(Duration());
+    Message.UsualMicros = static_cast<uint32_t>(toMicroseconds(Usual));
     this->Counters.observe(Metric::RunTime, endEvent(Message.Result), Took);
   }
   this->end(Key, std::move(Message));
--- a/src/plugins/http/upstreamcalls.h
+++ b/src/plugins/http/upstreamcalls.h
@@ -108,6 +108,7 @@
   void refuse(const RequestKey &Key, const std::string &Reason,
               Duration RetryAfter = Duration::zero());
   HttpRequest targetRequest(const Call &Of, TimePoint Now) const;
+  const TargetId &expectedTarget(const RequestMessage &Message) const;
   void runQueue(TimePoint Now);
   void logEnd(const RequestKey &Key, const Call &Of,
               const ReplyMessage &Message) const;
@@ -124,6 +125,10 @@
   std::unique_ptr<HttpClient> Target;
   std::shared_ptr<const Snapshot> Current;
   TargetId Listed;
+
+  /** When that target started, in milliseconds of Unix time. */
+  int64_t ListedBorn = 0;
+
   std::map<RequestKey, Call> Calls;
 
   /** Bytes of the bodies of Calls. */
--- a/src/plugins/peer/peerclient.cpp
+++ b/src/plugins/peer/peerclient.cpp
@@ -14,9 +14,15 @@
 /** Silence with open requests after which a peer is asked for a sign. */
 constexpr Duration SilenceLimit = milliseconds(150);
 
-/** Time in which a ping must be answered. */
+/** Time in which a ping must be answered; then others are asked as well. */
 constexpr Duration PongLimit = milliseconds(400);
 
+/**
+ * Silence after which what is open counts as lost. A busy node may need a
+ * second for its turn, and its answers are still good then.
+ */
+constexpr Duration LostLimit = milliseconds(1500);
+
 constexpr Duration IdleLimit = seconds(60);
 
 } // namespace
@@ -149,8 +155,7 @@
   if (Known == this->Links.end())
     return;
   Link &Source = Known->second;
-  Source.LastReceived = Task::now();
-  Source.Pinged.reset();
+  this->onLife(Source, Task::now());
   if (!Source.Greeted) {
     this->onHello(Stream, Source, Value);
     return;
@@ -191,6 +196,8 @@
   if (Known == this->Links.end())
     return;
   const VmName Name = Known->second.Name;
+  if (Known->second.Silent)
+    this->Events.Silent(Name, false);
   this->Links.erase(Known);
   const auto Current = this->ByName.find(Name);
   if (Current != this->ByName.end() && Current->second == Stream)
@@ -220,21 +227,41 @@
   this->Requests.erase(Known);
 }
 
+void PeerClient::onLife(Link &Source, TimePoint Now) {
+  Source.LastReceived = Now;
+  Source.Pinged.reset();
+  if (!Source.Silent)
+    return;
+  Source.Silent = false;
+  this->Events.Silent(Source.Name, false);
+}
+
+void PeerClient::onSilence(StreamId Stream, Link &Target, TimePoint Now) {
+  Target.Silent = true;
+  logEvent(LogLevel::Warning, "peer is silent",
+           {{"peer", Target.Ip.str()},
+            {"open_requests", Target.Open},
+            {"silent_ms", toMilliseconds(Now - Target.LastReceived)}});
+  this->Events.Silent(Target.Name, true);
+  for (const auto &[Number, Each] : this->Requests)
+    if (Each.Stream == Stream && Each.Written)
+      this->Owner.post([this, Late = Number] { this->Events.Overdue(Late); });
+}
+
 void PeerClient::pollSilence(StreamId Stream, Link &Target, TimePoint Now) {
   const uint64_t Progress = this->Streams.progress(Stream);
   if (Progress != Target.Progress) {
     Target.Progress = Progress;
-    Target.LastReceived = Now;
-    Target.Pinged.reset();
+    this->onLife(Target, Now);
   }
-  if (Target.Pinged && Now - *Target.Pinged > PongLimit) {
-    logEvent(LogLevel::Warning, "peer is silent",
-             {{"peer", Target.Ip.str()},
-              {"open_requests", Target.Open},
-              {"silent_ms", toMilliseconds(Now - Target.LastReceived)}});
+  if (Target.Silent && Now - Target.LastReceived > LostLimit) {
     this->Streams.abort(Stream);
     return;
   }
+  if (!Target.Silent && Target.Pinged && Now - *Target.Pinged > PongLimit) {
+    this->onSilence(Stream, Target, Now);
+    return;
+  }
   const bool Silent = Now - Target.LastReceived > SilenceLimit;
   if (!Silent || Target.Pinged || Target.Open == 0)
     return;
--- a/src/plugins/peer/peerclient.h
+++ b/src/plugins/peer/peerclient.h
@@ -23,7 +23,7 @@
   std::function<void(const ReplyMessage &)> Reply;
   std::function<void(const CancelReplyMessage &)> CancelReply;
 
-  /** The target takes unusually long for the request. */
+  /** The target takes unusually long for the request, or its node is silent. */
   std::function<void(RequestNumber)> Overdue;
 
   /** Nothing of the request was handed to the system. */
@@ -34,6 +34,9 @@
 
   std::function<void(const VmName &, const LoadReport &)> Load;
 
+  /** A peer with open requests has become silent, or was heard again. */
+  std::function<void(const VmName &, bool)> Silent;
+
   /** A peer sent something malformed. */
   std::function<void(const Error &)> Malformed;
 };
@@ -72,8 +75,8 @@
   void forget(RequestNumber Number);
 
   /**
-   * Closes streams whose peer does not greet or is silent while requests are
-   * open, and idle ones.
+   * Reports peers that are silent while requests are open. Closes streams
+   * whose peer does not greet or stays silent, and idle ones.
    */
   void poll(TimePoint Now);
 
@@ -99,6 +102,9 @@
 
     std::vector<Pending> Waiting;
     bool Greeted = false;
+
+    /** A ping was not answered in time, and nothing was heard since. */
+    bool Silent = false;
   };
 
   /** What is known of a request that has not ended. */
@@ -112,6 +118,8 @@
   void onReceived(StreamId Stream, const Frame &Value);
   void reportNotSent(RequestNumber Number);
   void pollSilence(StreamId Stream, Link &Target, TimePoint Now);
+  void onSilence(StreamId Stream, Link &Target, TimePoint Now);
+  void onLife(Link &Source, TimePoint Now);
   bool onHello(StreamId Stream, Link &Source, const Frame &Value);
   void onClosed(StreamId Stream);
   void write(StreamId Stream, Link &Target, RequestMessage &Message);
--- a/src/plugins/peer/peermessages.h
+++ b/src/plugins/peer/peermessages.h
@@ -74,9 +74,12 @@
   /** Life of the process that is meant to run the request. */
   Incarnation ForLife;
 
-  /** Target that is meant to run it; empty for any. */
+  /** Target that the sender knows there; empty for any. */
   TargetId Target;
 
+  /** When that target started, in milliseconds of Unix time; 0 for unknown. */
+  int64_t TargetBorn = 0;
+
   ServiceName Service;
   RouteName Route;
 
@@ -103,9 +106,10 @@
   HttpRequest Call;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Number, this->ForLife, this->Target, this->Service, this->Route,
-       this->Caller, this->Remaining, this->AimRemaining, this->RouteAim,
-       this->Priority, this->Idempotent, this->Depth, this->Call);
+    Ar(this->Number, this->ForLife, this->Target, this->TargetBorn,
+       this->Service, this->Route, this->Caller, this->Remaining,
+       this->AimRemaining, this->RouteAim, this->Priority, this->Idempotent,
+       this->Depth, this->Call);
   }
 };
 
@@ -129,13 +133,16 @@
   /** Microseconds that the target took. */
   uint32_t RunMicros = 0;
 
+  /** Microseconds that it usually takes for the route; 0 for unknown. */
+  uint32_t UsualMicros = 0;
+
   HttpResponse Answer;
   LoadReport Load;
 
   template <typename Archive> void serialize(Archive &Ar) {
     Ar(this->Number, this->Result, this->Reason, this->NoRetry,
        this->ReachedTarget, this->RetryAfterMicros, this->RunMicros,
-       this->Answer, this->Load);
+       this->UsualMicros, this->Answer, this->Load);
   }
 };
 
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -61,6 +61,12 @@
     View->onLoad(Load, Now);
 }
 
+void Router::onSilent(const VmName &Name, bool Silent) {
+  for (auto &[Id, View] : this->Views)
+    if (Id.Name == Name)
+      View.setSilent(Silent);
+}
+
 Candidate Router::candidate(const Vm &Upstream, const UpstreamView &View,
                             const PlacedRequest &Request, TimePoint Now) const {
   const Policy &Rules = *Request.Rules;
@@ -140,8 +146,10 @@
 }
 
 void Router::onRun(const UpstreamId &Id, const FinishedRun &Run) {
+  const Duration Everywhere = this->Works.of(Run.Route, Run.Aim).Mean;
   if (UpstreamView *View = this->find(Id))
-    View->onRun(Run.Took, this->Works.of(Run.Route, Run.Aim).Mean);
+    View->onRun(Run.Usual.value_or(Run.Took), Everywhere,
+                Run.Usual.has_value());
   this->Works.add(Run.Route, Run.Took);
   const auto Bytes = static_cast<double>(Run.Bytes);
   const auto [Known, New] = this->AnswerBytes.try_emplace(Run.Route, Bytes);
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -41,6 +42,9 @@
   /** Time that the target took. */
   Duration Took{};
 
+  /** Time that it usually takes for the route, as its node has seen. */
+  std::optional<Duration> Usual;
+
   /** Bytes of the answer's body. */
   size_t Bytes = 0;
 };
@@ -65,6 +69,9 @@
   /** Takes the load that the node on \a Name reports of its target. */
   void onLoad(const VmName &Name, const LoadReport &Load, TimePoint Now);
 
+  /** The node on \a Name does not answer, or was heard again. */
+  void onSilent(const VmName &Name, bool Silent);
+
   /**
    * Returns an upstream for \a Request that is not in \a Excluded, or null
    * when none takes work.
--- a/src/plugins/routing/upstreamview.cpp
+++ b/src/plugins/routing/upstreamview.cpp
@@ -20,6 +20,9 @@
 /** Weight of the newest run in an upstream's slowness. */
 constexpr double RunWeight = 0.1;
 
+/** Weight of a mean of many runs there. */
+constexpr double MeanWeight = 0.5;
+
 /** Largest ratio of one run to the usual one that is taken in. */
 constexpr double MaxRunRatio = 10;
 
@@ -95,13 +98,14 @@
     this->eject(FirstEjection, Now);
 }
 
-void UpstreamView::onRun(Duration Took, Duration Usual) {
+void UpstreamView::onRun(Duration Took, Duration Usual, bool IsMean) {
   if (Usual <= Duration::zero())
     return;
   const double Ratio =
       std::min(MaxRunRatio, static_cast<double>(Took.count()) /
                                 static_cast<double>(Usual.count()));
-  this->Slowness += RunWeight * (Ratio - this->Slowness);
+  const double Weight = IsMean ? MeanWeight : RunWeight;
+  this->Slowness += Weight * (Ratio - this->Slowness);
 }
 
 void UpstreamView::eject(Duration First, TimePoint Now) {
--- a/src/plugins/routing/upstreamview.h
+++ b/src/plugins/routing/upstreamview.h
@@ -56,14 +56,22 @@
   /** \pre onSent() was called for this attempt. */
   void onEnd(AttemptEnd End, TimePoint Now);
 
-  /** A run took \a Took where the usual time of its route is \a Usual. */
-  void onRun(Duration Took, Duration Usual);
+  /**
+   * A run took \a Took where the usual time of its route is \a Usual. \a IsMean
+   * says that \a Took is the mean of many runs.
+   */
+  void onRun(Duration Took, Duration Usual, bool IsMean);
 
   /** Returns true unless it said that it takes nothing new. */
   bool takesWork() const;
 
-  /** Returns true while it is left out for its failures. */
-  bool ejected(TimePoint Now) const { return Now < this->EjectedUntil; }
+  /** Its node does not answer, or was heard again. */
+  void setSilent(bool On) { this->Silent = On; }
+
+  /** Returns true while it is left out for its failures or its silence. */
+  bool ejected(TimePoint Now) const {
+    return this->Silent || Now < this->EjectedUntil;
+  }
 
   /** Returns its work per slot; above 1 requests wait. */
   double load(const Policy &Rules, TimePoint Now) const;
@@ -108,6 +116,7 @@
   /** Time of its runs relative to the usual one. */
   double Slowness = 1;
 
+  bool Silent = false;
   bool HasLoad = false;
   bool HasAnnouncement = false;
 
--- a/src/plugins/routing/workestimate.h
+++ b/src/plugins/routing/workestimate.h
@@ -37,6 +37,13 @@
     return {.Mean = Guess, .Deviation = Guess / 2};
   }
 
+  /** Returns the mean time of \a Route, if it was measured. */
+  std::optional<Duration> mean(const RouteName &Route) const {
+    const auto Found = this->Routes.find(Route);
+    return Found == this->Routes.end() ? std::nullopt
+                                       : std::optional(Found->second.mean());
+  }
+
   /** Returns a time that few requests of \a Route exceed, if it is known. */
   std::optional<Duration> longest(const RouteName &Route) const {
     const auto Found = this->Routes.find(Route);
--- a/src/plugins/spread/pullcontrol.cpp
+++ b/src/plugins/spread/pullcontrol.cpp
@@ -46,11 +46,11 @@
     this->Next.reset();
 }
 
-void PullControl::pullWhole(const Address &Peer, TimePoint Now,
-                            SpreadActions &Actions) {
+void PullControl::pull(const Address &Peer, const VersionId &Have,
+                       TimePoint Now, SpreadActions &Actions) {
   this->Active = Pull{.Peer = Peer, .Deadline = Now + PullTimeout};
   Actions.emplace_back(
-      SendControl{Peer, PullMessage{.Kind = this->Kind, .Have = {}}});
+      SendControl{Peer, PullMessage{.Kind = this->Kind, .Have = Have}});
 }
 
 void PullControl::clear() {
@@ -71,9 +71,7 @@
     return;
   const Address Peer = this->Next->Peer;
   this->Next.reset();
-  this->Active = Pull{.Peer = Peer, .Deadline = Now + PullTimeout};
-  Actions.emplace_back(
-      SendControl{Peer, PullMessage{.Kind = this->Kind, .Have = Have}});
+  this->pull(Peer, Have, Now, Actions);
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/pullcontrol.h
+++ b/src/plugins/spread/pullcontrol.h
@@ -34,8 +34,9 @@
   /** The peer can't be reached. */
   void onSendFailed(const Address &Peer);
 
-  /** Asks \a Peer for the whole version at once. */
-  void pullWhole(const Address &Peer, TimePoint Now, SpreadActions &Actions);
+  /** Asks \a Peer at once for what changed since \a Have. */
+  void pull(const Address &Peer, const VersionId &Have, TimePoint Now,
+            SpreadActions &Actions);
 
   /** Returns true while nothing is planned or under way. */
   bool idle() const { return !this->Next && !this->Active; }
--- a/src/plugins/spread/pushtracker.h
+++ b/src/plugins/spread/pushtracker.h
@@ -12,6 +12,7 @@
   Address Peer;
   ItemKind Kind = ItemKind::Config;
   VersionTag Version;
+  PushTree Tree;
   TimePoint Deadline;
 };
 
--- a/src/plugins/spread/readorder.cpp
+++ b/src/plugins/spread/readorder.cpp
@@ -36,6 +36,23 @@
   return Found;
 }
 
+const Vm *ReadOrder::firstIn(const FailureDomain &Domain,
+                             const VmName &Before) const {
+  const size_t After = Before.empty() ? 0 : this->placeOf(Before) + 1;
+  const Vm *Best = nullptr;
+  size_t BestPlace = Unlisted;
+  for (const Vm &Each : this->Nodes.all()) {
+    if (Each.Domain != Domain)
+      continue;
+    const size_t Place = this->placeOf(Each.Name);
+    if (Place < After || Place >= BestPlace)
+      continue;
+    Best = &Each;
+    BestPlace = Place;
+  }
+  return Best;
+}
+
 std::vector<VmName> ReadOrder::before(const VmName &Name, size_t Count) const {
   return this->firstUntil(this->placeOf(Name), Count);
 }
--- a/src/plugins/spread/readorder.h
+++ b/src/plugins/spread/readorder.h
@@ -33,6 +33,12 @@
   /** Returns the first \a Count nodes. */
   std::vector<VmName> first(size_t Count) const;
 
+  /**
+   * Returns the first node of \a Domain that comes after \a Before, or of all
+   * for none; null when there is none.
+   */
+  const Vm *firstIn(const FailureDomain &Domain, const VmName &Before) const;
+
 private:
   bool isSlow(const VmName &Name) const;
   std::vector<VmName> firstUntil(size_t Place, size_t Count) const;
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -20,9 +20,6 @@
 constexpr int MaxReadDoublings = 5;
 constexpr Duration MaxHold = milliseconds(500);
 
-/** First nodes in the order of reading that are told of reads directly. */
-constexpr size_t ToldPlaces = 4;
-
 } // namespace
 
 Spread::Spread(SpreadOptions NewOptions, VersionCheck Check,
@@ -139,24 +136,6 @@
   this->tellNextReaders(Now);
 }
 
-void Spread::tellNextReaders(TimePoint Now) {
-  for (const Address &Root : this->roots())
-    this->sendDigest(Root, DigestPurpose::ReadNews, Now);
-  // Those that would read next learn of it even when the tree has a gap.
-  for (const VmName &Name : this->Readers.first(ToldPlaces))
-    if (Name != this->Options.Self)
-      this->sendDigest(this->Nodes.findByName(Name)->Ip,
-                       DigestPurpose::ReadNews, Now);
-}
-
-void Spread::tellChildren(TimePoint Now) {
-  if (this->Tuning.Strategy != "tree")
-    return;
-  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
-  for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
-    this->sendDigest(Child, DigestPurpose::ReadNews, Now);
-}
-
 void Spread::onPlatformFailed(ItemKind Kind, TimePoint Now) {
   Watch &Read = this->stream(Kind).Read;
   Read.InFlight = false;
@@ -214,7 +193,8 @@
   const WholeVersionPtr Known = this->store(ItemKind::VmList).current();
   if (Known != nullptr && Known->Content.Entries == Version->Content.Entries)
     return;
-  this->accept(ItemKind::VmList, Version, Origin::Platform, "platform", Now);
+  this->accept(ItemKind::VmList, Version,
+               {.How = Origin::Platform, .From = "platform"}, Now);
 }
 
 void Spread::onPart(const Digest &Hash, const std::string *Text,
@@ -235,11 +215,13 @@
     return;
   }
   this->Fetch.clear();
-  this->accept(ItemKind::Config, Whole, Origin::Platform, "platform", Now);
+  this->accept(ItemKind::Config, Whole,
+               {.How = Origin::Platform, .From = "platform"}, Now);
 }
 
-void Spread::accept(ItemKind Kind, const WholeVersionPtr &Version, Origin How,
-                    const std::string &From, TimePoint Now) {
+void Spread::accept(ItemKind Kind, const WholeVersionPtr &Version,
+                    const Arrival &Came, TimePoint Now) {
+  const std::string &From = Came.From;
   Stream &Target = this->stream(Kind);
   const Verdict What = Target.Ledger.judge(Version->Id);
   if (What == Verdict::Older && Kind == ItemKind::Config)
@@ -267,7 +249,7 @@
                              .IsSeed = this->isSeed()});
   this->audit(AuditKind::Applied, Kind, Version->Id, From, "");
   this->Actions.emplace_back(VersionInForce{Kind});
-  this->forward(Kind, How, Address(From), Now);
+  this->forward(Kind, Came, Now);
 }
 
 void Spread::applyVmList(TimePoint Now) {
@@ -310,69 +292,6 @@
   });
 }
 
-void Spread::forward(ItemKind Kind, Origin How, const Address &From,
-                     TimePoint Now) {
-  if (this->holding(Now) || this->Tuning.Strategy != "tree")
-    return;
-  const bool WithContent = this->Tuning.PushContent && How != Origin::Pull;
-  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
-  for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
-    if (Child != From)
-      this->push(Child, Kind, WithContent, Now);
-  if (How == Origin::Push)
-    return;
-  // The node that reads brings the content to the other domains; whoever else
-  // has read once only offers it, which costs little where it is known.
-  const bool First = How == Origin::Platform && this->Schedule.reads();
-  for (const Address &Root : this->roots())
-    if (Root != From)
-      this->push(Root, Kind, WithContent && First, Now);
-}
-
-std::vector<Address> Spread::roots() const {
-  std::vector<Address> Roots = this->Nodes.otherRoots();
-  const auto &Members = this->Nodes.domainMembers();
-  if (!Members.empty() && this->Nodes.rank() > 0)
-    Roots.push_back(Members.front().Ip);
-  return Roots;
-}
-
-void Spread::push(const Address &To, ItemKind Kind, bool WithContent,
-                  TimePoint Now) {
-  const CatalogStore &Store = this->store(Kind);
-  if (WithContent) {
-    TransferMessage Message = Store.transferFrom(Store.previousId());
-    Message.Pushed = true;
-    this->Actions.emplace_back(SendControl{To, std::move(Message)});
-  } else {
-    this->Actions.emplace_back(SendControl{
-        To, OfferMessage{.Kind = Kind, .Version = Store.currentId()}});
-  }
-  this->Pushes.add({.Peer = To,
-                    .Kind = Kind,
-                    .Version = tagOf(Store.currentId()),
-                    .Deadline = Now + this->Tuning.AckLimit});
-}
-
-void Spread::adopt(const std::vector<OpenPush> &Lost, TimePoint Now) {
-  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
-  for (const OpenPush &Each : Lost) {
-    const size_t Rank = this->Nodes.rankOf(Each.Peer);
-    if (Rank >= this->Nodes.domainMembers().size())
-      continue;
-    // Nodes under a lost root have often got the version from elsewhere.
-    const bool Below = Rank > this->Nodes.rank();
-    for (const Address &Child : this->Nodes.children(Rank, FanOut))
-      this->push(Child, Each.Kind, Below && this->Tuning.PushContent, Now);
-  }
-}
-
-void Spread::onSendFailed(const Address &To, TimePoint Now) {
-  this->adopt(this->Pushes.takeFailed(To), Now);
-  for (const ItemKind Kind : Kinds)
-    this->stream(Kind).Pulls.onSendFailed(To);
-}
-
 void Spread::setOwnState(MemberState State, TimePoint Now) {
   if (!this->Members.setOwnState(State))
     return;
@@ -381,23 +300,6 @@
   this->announceOwn(Now);
 }
 
-void Spread::announceOwn(TimePoint Now) {
-  this->forwardAnnouncements({this->Members.own()}, Address());
-  for (const Address &Root : this->roots())
-    this->Actions.emplace_back(
-        SendControl{Root, AnnouncementsMessage{{this->Members.own()}}});
-  this->NextDigest = Now;
-}
-
-void Spread::forwardAnnouncements(
-    const std::vector<MemberAnnouncement> &Announcements, const Address &From) {
-  const auto FanOut = static_cast<size_t>(this->Tuning.FanOut);
-  for (const Address &Child : this->Nodes.children(this->Nodes.rank(), FanOut))
-    if (Child != From)
-      this->Actions.emplace_back(
-          SendControl{Child, AnnouncementsMessage{Announcements}});
-}
-
 bool Spread::mergeAnnouncement(const MemberAnnouncement &Announced,
                                const Address &From, TimePoint Now) {
   if (Announced.Name.empty())
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -169,8 +169,18 @@
   void takeConfigManifest(const std::string &Text, TimePoint Now);
   void takeVmList(const std::string &Text, TimePoint Now);
   void finishFetch(TimePoint Now);
-  void accept(ItemKind Kind, const WholeVersionPtr &Version, Origin How,
-              const std::string &From, TimePoint Now);
+
+  /** Where a version comes from. */
+  struct Arrival {
+    Origin How = Origin::Pull;
+    std::string From;
+
+    /** The tree of a push. */
+    PushTree Tree;
+  };
+
+  void accept(ItemKind Kind, const WholeVersionPtr &Version,
+              const Arrival &Came, TimePoint Now);
   void applyVmList(TimePoint Now);
   void useVms();
   void expireLapsed(TimePoint Now);
@@ -183,8 +193,18 @@
   /** Returns the first nodes of the domains, without this one. */
   std::vector<Address> roots() const;
 
-  void forward(ItemKind Kind, Origin How, const Address &From, TimePoint Now);
-  void push(const Address &To, ItemKind Kind, bool WithContent, TimePoint Now);
+  /** Returns the nodes that bring versions to the other domains. */
+  std::vector<Address> otherHeads() const;
+
+  /** Returns a tree of which this node is the root. */
+  PushTree ownTree() const;
+
+  void forward(ItemKind Kind, const Arrival &Came, TimePoint Now);
+  void pushDown(ItemKind Kind, const PushTree &Tree, const Address &From,
+                TimePoint Now);
+  void push(const Address &To, ItemKind Kind, const PushTree &Tree,
+            TimePoint Now);
+  void offer(const Address &To, ItemKind Kind, TimePoint Now);
   void adopt(const std::vector<OpenPush> &Lost, TimePoint Now);
   void
   forwardAnnouncements(const std::vector<MemberAnnouncement> &Announcements,
--- a/src/plugins/spread/spreadmessages.h
+++ b/src/plugins/spread/spreadmessages.h
@@ -88,6 +88,24 @@
   }
 };
 
+/** The tree down which a version goes in one domain. */
+struct PushTree {
+  /** Its root; empty for the first node by rank. */
+  Address Root;
+
+  /** Children of each node; 0 for what the policy says. */
+  uint16_t FanOut = 0;
+
+  /** The receiver is to be the root of a tree of its own. */
+  bool ReceiverIsRoot = false;
+
+  auto operator<=>(const PushTree &) const = default; // NOLINT
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Root, this->FanOut, this->ReceiverIsRoot);
+  }
+};
+
 /** Says that a version can be pulled from the sender. */
 struct OfferMessage {
   ItemKind Kind = ItemKind::Config;
@@ -109,6 +127,9 @@
   /** True when the sender wants an AckMessage. */
   bool Pushed = false;
 
+  /** Where it goes from the receiver; for a pushed one. */
+  PushTree Tree;
+
   /** The catalog, with only the entries that differ from the base. */
   Catalog Changes;
 
@@ -119,8 +140,8 @@
   std::vector<std::string> Texts;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Kind, this->Version, this->Base, this->Pushed, this->Changes,
-       this->Removed, this->Texts);
+    Ar(this->Kind, this->Version, this->Base, this->Pushed, this->Tree,
+       this->Changes, this->Removed, this->Texts);
   }
 };
 
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -102,11 +102,14 @@
   const Result<WholeVersionPtr> Version = Target.Store.rebuild(Message);
   if (Version) {
     this->accept(Message.Kind, Version.value(),
-                 Message.Pushed ? Origin::Push : Origin::Pull, From.str(), Now);
+                 {.How = Message.Pushed ? Origin::Push : Origin::Pull,
+                  .From = From.str(),
+                  .Tree = Message.Tree},
+                 Now);
     return;
   }
   if (Version.error().Code == Errc::NotFound) {
-    Target.Pulls.pullWhole(From, Now, this->Actions);
+    Target.Pulls.pull(From, Target.Ledger.inForce(), Now, this->Actions);
     return;
   }
   this->audit(AuditKind::DigestMismatch, Message.Kind, Message.Version,
@@ -115,7 +118,8 @@
 
 int64_t Spread::mostTransfers() const {
   const int64_t Most = this->Tuning.MaxTransfers;
-  return this->Options.ReadsSlowly ? Most : Most * QuickTransfers;
+  return this->Options.ReadsSlowly ? std::max<int64_t>(1, Most / 2)
+                                   : Most * QuickTransfers;
 }
 
 void Spread::onPull(const Address &From, const PullMessage &Message,
--- a/src/plugins/spread/topology.cpp
+++ b/src/plugins/spread/topology.cpp
@@ -96,16 +96,33 @@
                                      : this->ReadPlaces[Found->second];
 }
 
-std::vector<Address> Topology::children(size_t Rank, size_t FanOut) const {
+std::vector<Address> Topology::children(const Address &Ip, const Address &Root,
+                                        size_t FanOut) const {
+  const size_t Rank = this->rankOf(Ip);
+  const size_t Known = this->rankOf(Root);
+  const size_t RootRank = Known < this->Own.size() ? Known : 0;
   std::vector<Address> Children;
-  for (size_t Index = 1; Index <= FanOut; ++Index) {
-    const size_t Child = Rank * FanOut + Index;
-    if (Child < this->Own.size() && this->Own[Child].Name != this->Self)
-      Children.push_back(this->Own[Child].Ip);
+  if (Rank >= this->Own.size())
+    return Children;
+  // The root has moved to the front; those before it stand one place later.
+  const size_t Place = Rank == RootRank ? 0 : Rank + (Rank < RootRank ? 1 : 0);
+  for (size_t Child = Place * FanOut + 1; Child <= (Place + 1) * FanOut;
+       ++Child) {
+    if (Child >= this->Own.size())
+      break;
+    const Vm &Each = this->Own[Child <= RootRank ? Child - 1 : Child];
+    if (Each.Name != this->Self)
+      Children.push_back(Each.Ip);
   }
   return Children;
 }
 
+std::vector<Address> Topology::ownChildren(size_t FanOut) const {
+  if (!this->listed())
+    return {};
+  return this->children(this->Own[this->OwnRank].Ip, Address(), FanOut);
+}
+
 size_t Topology::rankOf(const Address &Ip) const {
   const auto Found = this->OwnRanks.find(Ip);
   return Found == this->OwnRanks.end() ? this->Own.size() : Found->second;
--- a/src/plugins/spread/topology.h
+++ b/src/plugins/spread/topology.h
@@ -48,8 +48,16 @@
   /** Returns the nodes of this node's domain by rank. */
   const std::vector<Vm> &domainMembers() const { return this->Own; }
 
-  /** Returns the children of the node with \a Rank in a tree of \a FanOut. */
-  std::vector<Address> children(size_t Rank, size_t FanOut) const;
+  /**
+   * Returns the children of the node at \a Ip in a tree of this domain: its
+   * other nodes by rank below \a Root. The first node by rank is the root
+   * where \a Root is not in the domain. No children for an unknown node.
+   */
+  std::vector<Address> children(const Address &Ip, const Address &Root,
+                                size_t FanOut) const;
+
+  /** Returns this node's children in the tree of the first node by rank. */
+  std::vector<Address> ownChildren(size_t FanOut) const;
 
   /** Returns the rank of the node at \a Ip; the domain's size if unknown. */
   size_t rankOf(const Address &Ip) const;
--- a/src/plugins/spread/transferframes.cpp
+++ b/src/plugins/spread/transferframes.cpp
@@ -19,7 +19,8 @@
                                     return Each.Kind == Message.Kind &&
                                            Each.Version == Message.Version &&
                                            Each.Base == Message.Base &&
-                                           Each.Pushed == Message.Pushed;
+                                           Each.Pushed == Message.Pushed &&
+                                           Each.Tree == Message.Tree;
                                   });
   if (Known != this->Entries.end())
     return Known->Value;
@@ -27,6 +28,7 @@
                             .Version = Message.Version,
                             .Base = Message.Base,
                             .Pushed = Message.Pushed,
+                            .Tree = Message.Tree,
                             .Value = toFrame(Message)});
   if (this->Entries.size() > MaxEntries)
     this->Entries.pop_back();
--- a/src/plugins/spread/transferframes.h
+++ b/src/plugins/spread/transferframes.h
@@ -25,6 +25,7 @@
     VersionId Version;
     VersionId Base;
     bool Pushed = false;
+    PushTree Tree;
     Frame Value;
   };
 
--- a/tests/process/mesh_test.py
+++ b/tests/process/mesh_test.py
@@ -108,6 +108,22 @@
         check_promises(fleet, log)
 
 
+def test_a_short_freeze_breaks_no_call():
+    with shirakaba(33, service_ms=30) as fleet:
+        log = fleet.directory / "posts.log"
+        # The nodes of roster have no seating target: every POST goes on.
+        caller = load(fleet, fleet.vms[5:], 4, log, rate=200)
+        for vm in fleet.vms[:3]:
+            time.sleep(0.5)
+            vm.node.send_signal(signal.SIGSTOP)
+            time.sleep(0.9)
+            vm.node.send_signal(signal.SIGCONT)
+        summary = finish(caller)
+        assert summary["unknown"] == 0, summary
+        assert summary["good"] > 0 and summary["wrong"] == 0, summary
+        check_promises(fleet, log)
+
+
 def test_planned_stops_cut_nothing():
     with shirakaba(23, service_ms=30) as fleet:
         log = fleet.directory / "posts.log"
