Waits are reported by rank; late requests that can't be served are refused early

While they wait the forecast is made anew each 20 ms; one whose wait is longer than its time left is refused with the time to come back (AdmissionTuning::LateStayShare).

--- a/bench/loadsim/experiment.cpp
+++ b/bench/loadsim/experiment.cpp
@@ -128,7 +128,9 @@
      &EventModel::Factor},
 }};
 
-const std::array<KeySpec, 7> OwnKeys = {{
+const std::array<KeySpec, 8> OwnKeys = {{
+    {"variant", "late-stay-share", KeyType::Ratio, 0, 1000, "0.5",
+     "share of its time left that one which waits may stay when it is late"},
     {"variant", "admits", KeyType::Flag, 0, 1, "yes",
      "no: requests queue without limit"},
     {"variant", "shares-means", KeyType::Flag, 0, 1, "yes",
@@ -257,6 +259,8 @@
     Target.Rules.Queue = static_cast<int64_t>(Base);
   if (Key == "late-wait-share")
     Target.Admission.LateWaitShare = Base;
+  if (Key == "late-stay-share")
+    Target.Admission.LateStayShare = Base;
   if (Key == "admits")
     Target.Admits = Base != 0;
   if (Key == "shares-means")
--- a/bench/loadsim/simnode.cpp
+++ b/bench/loadsim/simnode.cpp
@@ -266,8 +266,7 @@
   return {.SlotsUsed = static_cast<uint16_t>(this->Gate->running()),
           .Slots = static_cast<uint16_t>(this->Listed.Slots),
           .Queued = static_cast<uint16_t>(this->Gate->queued()),
-          .WaitMicros =
-              static_cast<uint32_t>(toMicroseconds(this->Gate->lastWait(Now))),
+          .WaitMicros = this->Gate->reportedWaits(Now),
           .State = MemberState::Serving};
 }
 
--- a/src/plugins/admission/admission.cpp
+++ b/src/plugins/admission/admission.cpp
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bluebellbarrow {
 
@@ -12,9 +13,19 @@
 /** Share of the usual time that a request is expected to run at least on. */
 constexpr double LeastRemaining = 0.2;
 
+/** Longest wait that a load report holds, in microseconds. */
+constexpr int64_t LongestReported = std::numeric_limits<uint32_t>::max();
+
+/** Time between two looks at requests that wait and are late. */
+constexpr Duration LookInterval = milliseconds(20);
+
 /** Least share of the slots that a forecast leaves to a rank. */
 constexpr double LeastShare = 0.05;
 
+TimeLeft timeLeft(const WaitingRequest &Of, TimePoint Now) {
+  return {.Aim = Of.Aim - Now, .Deadline = Of.Deadline - Now};
+}
+
 } // namespace
 
 Admission::Admission(AdmissionLimits Limits, AdmissionTuning Tuning)
@@ -26,7 +37,7 @@
              this->Limits.Slots;
 }
 
-Duration Admission::startOf(const WaitingRequest *Request,
+Duration Admission::startOf(const WaitingRequest &Request,
                             TimePoint Now) const {
   if (this->Limits.Slots == 0)
     return Duration::max();
@@ -41,8 +52,7 @@
     Free.push_back(Duration::zero());
   for (const Duration Work : this->Line.workAhead(Request, Now))
     *std::min_element(Free.begin(), Free.end()) += Work;
-  const size_t LeftFree =
-      Request == nullptr ? 0 : this->Reserve.against(Request->Priority, Now);
+  const size_t LeftFree = this->Reserve.against(Request.Priority, Now);
   const auto Start = Free.begin() + static_cast<ptrdiff_t>(
                                         std::min(LeftFree, Free.size() - 1));
   std::nth_element(Free.begin(), Start, Free.end());
@@ -51,7 +61,7 @@
 
 Duration Admission::expectedWait(const WaitingRequest &Request,
                                  TimePoint Now) const {
-  const Duration Start = this->startOf(&Request, Now);
+  const Duration Start = this->startOf(Request, Now);
   const double OvertakenShare =
       this->Overtaking.rateBefore(Request.Priority, Request.late(Now), Now) /
       static_cast<double>(std::max<size_t>(1, this->Limits.Slots));
@@ -59,10 +69,25 @@
       Start / std::max(LeastShare, 1 - OvertakenShare));
 }
 
-Duration Admission::lastWait(TimePoint Now) const {
-  if (this->Line.empty() && this->Running.size() < this->Limits.Slots)
+Duration Admission::waitOf(int64_t Priority, TimePoint Now) const {
+  if (this->Line.empty() && this->mayStart(Priority, Now))
     return Duration::zero();
-  return this->startOf(nullptr, Now);
+  // As if it were late already: it goes after all of its rank.
+  return this->expectedWait({.Priority = Priority,
+                             .Aim = TimePoint::min(),
+                             .Deadline = TimePoint::max()},
+                            Now);
+}
+
+std::array<uint32_t, ReportedRanks>
+Admission::reportedWaits(TimePoint Now) const {
+  std::array<uint32_t, ReportedRanks> Waits{};
+  for (size_t Rank = 0; Rank < Waits.size(); ++Rank) {
+    const Duration Wait = this->waitOf(static_cast<int64_t>(Rank), Now);
+    Waits[Rank] = static_cast<uint32_t>(
+        std::min<int64_t>(toMicroseconds(Wait), LongestReported));
+  }
+  return Waits;
 }
 
 AdmitResult Admission::refuse(const RequestKey &Key, const std::string &Reason,
@@ -79,10 +104,29 @@
 }
 
 void Admission::giveUp(const WaitingRequest &Request, const char *Reason,
-                       TimePoint Now) {
+                       Duration RetryAfter, TimePoint Now) {
   this->Seen.set(Request.Key, SeenState::NotRun, Now);
-  this->GivenUp.push_back(
-      {.Key = Request.Key, .Start = false, .Reason = Reason});
+  this->GivenUp.push_back({.Key = Request.Key,
+                           .Start = false,
+                           .Reason = Reason,
+                           .RetryAfter = RetryAfter});
+}
+
+void Admission::giveUpLate(TimePoint Now) {
+  if (Now < this->NextLook)
+    return;
+  this->NextLook = Now + LookInterval;
+  const std::vector<WaitingRequest> Late = this->Line.late(Now);
+  for (const WaitingRequest &Each : Late) {
+    const Duration Wait = this->expectedWait(Each, Now);
+    const Duration Longest = longestLateWait(Each.Work, timeLeft(Each, Now),
+                                             this->Tuning.LateStayShare);
+    if (Wait <= Longest)
+      continue;
+    this->Line.remove(Each.Key);
+    this->Reserve.onTurnedAway(Each.Priority, Now);
+    this->giveUp(Each, "would wait too long", Wait - Longest, Now);
+  }
 }
 
 bool Admission::makeRoom(const WaitingRequest &Request, TimePoint Now) {
@@ -95,18 +139,18 @@
     return false;
   this->Line.remove(Last.Key);
   this->Reserve.onTurnedAway(Last.Priority, Now);
-  this->giveUp(Last, "more urgent requests wait", Now);
+  this->giveUp(Last, "more urgent requests wait", Duration::zero(), Now);
   return true;
 }
 
 AdmitResult Admission::judgeWait(const WaitingRequest &Request, TimePoint Now) {
   const Duration Wait = this->expectedWait(Request, Now);
-  const auto Longest = std::chrono::duration_cast<Duration>(
-      (Request.Deadline - Now - Request.Work) * this->Tuning.LateWaitShare);
-  const bool InTime = Now + Wait + Request.Work <= Request.Aim;
-  if (!InTime && Wait > Longest)
+  const TimeLeft Left = timeLeft(Request, Now);
+  const double Share = this->Tuning.LateWaitShare;
+  if (!shouldWait(Wait, Request.Work, Left, Share))
     return this->turnAway(Request, "would wait too long",
-                          Wait - std::max(Longest, Duration::zero()), Now);
+                          Wait - longestLateWait(Request.Work, Left, Share),
+                          Now);
   if (!this->makeRoom(Request, Now))
     return this->turnAway(Request, "queue is full", Wait, Now);
   return {.What = Admitted::Queue, .Reason = {}};
@@ -135,7 +179,7 @@
                          .Deadline = Request.Deadline,
                          .Work = Work};
   if (this->mayStart(Request.Priority, Now) &&
-      this->Line.workAhead(&Waiting, Now).empty()) {
+      this->Line.workAhead(Waiting, Now).empty()) {
     this->Overtaking.add(Request.Priority, Work, Now);
     this->start(Key, Request.Route, Work, Now);
     return {.What = Admitted::Start, .Reason = {}};
@@ -192,9 +236,11 @@
   for (const WaitingRequest &Each : Hopeless) {
     if (!this->Draining)
       this->Reserve.onTurnedAway(Each.Priority, Now);
-    this->giveUp(
-        Each, this->Draining ? "target is draining" : "deadline is over", Now);
+    this->giveUp(Each,
+                 this->Draining ? "target is draining" : "deadline is over",
+                 Duration::zero(), Now);
   }
+  this->giveUpLate(Now);
   std::vector<Dequeued> Left;
   Left.swap(this->GivenUp);
   while (!this->Line.empty() &&
--- a/src/plugins/admission/admission.h
+++ b/src/plugins/admission/admission.h
@@ -3,11 +3,13 @@
 
 #include "admittedwork.h"
 #include "plugins/peer/peermessages.h"
+#include "plugins/routing/waitrule.h"
 #include "plugins/routing/workestimate.h"
 #include "seenrequests.h"
 #include "slotreserve.h"
 #include "waitingline.h"
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,10 @@
 /** Tuning of an Admission. */
 struct AdmissionTuning {
   /** Share of its time left that a request may wait to be answered late. */
-  double LateWaitShare = 0.1;
+  double LateWaitShare = bluebellbarrow::LateWaitShare;
+
+  /** The same for one that waits already, and is late by now. */
+  double LateStayShare = 1;
 };
 
 /** A request that asks for the target. */
@@ -132,8 +137,14 @@
     return this->Works.mean(Route);
   }
 
-  /** Returns the time that a request which goes last would wait. */
-  Duration lastWait(TimePoint Now) const;
+  /**
+   * Returns the time that a request of \a Priority would wait which can still
+   * be answered in its aim.
+   */
+  Duration waitOf(int64_t Priority, TimePoint Now) const;
+
+  /** Returns the waits that a LoadReport holds, in microseconds. */
+  std::array<uint32_t, ReportedRanks> reportedWaits(TimePoint Now) const;
 
 private:
   struct Started {
@@ -147,13 +158,15 @@
   void start(const RequestKey &Key, const RouteName &Route, Duration Expected,
              TimePoint Now);
   bool mayStart(int64_t Priority, TimePoint Now) const;
-  Duration startOf(const WaitingRequest *Request, TimePoint Now) const;
+  Duration startOf(const WaitingRequest &Request, TimePoint Now) const;
   Duration expectedWait(const WaitingRequest &Request, TimePoint Now) const;
   AdmitResult judgeWait(const WaitingRequest &Request, TimePoint Now);
   bool makeRoom(const WaitingRequest &Request, TimePoint Now);
   AdmitResult turnAway(const WaitingRequest &Request, const std::string &Reason,
                        Duration RetryAfter, TimePoint Now);
-  void giveUp(const WaitingRequest &Request, const char *Reason, TimePoint Now);
+  void giveUp(const WaitingRequest &Request, const char *Reason,
+              Duration RetryAfter, TimePoint Now);
+  void giveUpLate(TimePoint Now);
   AdmitResult refuse(const RequestKey &Key, const std::string &Reason,
                      Duration RetryAfter, TimePoint Now);
 
@@ -170,6 +183,7 @@
 
   std::vector<Started> Running;
   bool Draining = false;
+  TimePoint NextLook;
   TimePoint Hold;
   TimePoint Closing = TimePoint::max();
 };
--- a/src/plugins/admission/waitingline.cpp
+++ b/src/plugins/admission/waitingline.cpp
@@ -1,6 +1,7 @@
 #include "waitingline.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bluebellbarrow {
 
@@ -55,17 +56,25 @@
   return Taken;
 }
 
+std::vector<WaitingRequest> WaitingLine::late(TimePoint Now) const {
+  std::vector<WaitingRequest> Found;
+  std::copy_if(this->Waiting.begin(), this->Waiting.end(),
+               std::back_inserter(Found),
+               [Now](const WaitingRequest &Each) { return Each.late(Now); });
+  return Found;
+}
+
 std::vector<WaitingRequest> WaitingLine::takeAll() {
   std::vector<WaitingRequest> Taken;
   Taken.swap(this->Waiting);
   return Taken;
 }
 
-std::vector<Duration> WaitingLine::workAhead(const WaitingRequest *Request,
+std::vector<Duration> WaitingLine::workAhead(const WaitingRequest &Request,
                                              TimePoint Now) const {
   std::vector<Duration> Work;
   for (const WaitingRequest &Each : this->Waiting)
-    if (Request == nullptr || startsBefore(Each, *Request, Now))
+    if (startsBefore(Each, Request, Now))
       Work.push_back(Each.Work);
   return Work;
 }
--- a/src/plugins/admission/waitingline.h
+++ b/src/plugins/admission/waitingline.h
@@ -62,11 +62,14 @@
   /** Removes and returns those that can't be answered in time any more. */
   std::vector<WaitingRequest> takeHopeless(TimePoint Now);
 
+  /** Returns those that can't be answered before their aim any more. */
+  std::vector<WaitingRequest> late(TimePoint Now) const;
+
   /** Removes and returns all. */
   std::vector<WaitingRequest> takeAll();
 
-  /** Returns the work of those that start before \a Request; null for all. */
-  std::vector<Duration> workAhead(const WaitingRequest *Request,
+  /** Returns the work of those that start before \a Request. */
+  std::vector<Duration> workAhead(const WaitingRequest &Request,
                                   TimePoint Now) const;
 
   /** Returns true when \a A starts before \a B. */
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -6,7 +6,6 @@
 #include "plugins/metrics/metrics.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace bluebellbarrow {
 
@@ -121,13 +120,10 @@
 }
 
 LoadReport UpstreamCalls::load() const {
-  const auto Wait =
-      std::min<int64_t>(toMicroseconds(this->Gate.lastWait(Task::now())),
-                        std::numeric_limits<uint32_t>::max());
   return {.SlotsUsed = static_cast<uint16_t>(this->Gate.running()),
           .Slots = static_cast<uint16_t>(this->Gate.limits().Slots),
           .Queued = static_cast<uint16_t>(this->Gate.queued()),
-          .WaitMicros = static_cast<uint32_t>(Wait),
+          .WaitMicros = this->Gate.reportedWaits(Task::now()),
           .State = this->State,
           .Target = this->Listed};
 }
@@ -447,7 +443,7 @@
     if (Each.Start)
       this->start(Each.Key);
     else
-      this->refuse(Each.Key, Each.Reason);
+      this->refuse(Each.Key, Each.Reason, Each.RetryAfter);
   }
 }
 
--- a/src/plugins/peer/peermessages.h
+++ b/src/plugins/peer/peermessages.h
@@ -5,6 +5,7 @@
 #include "kernel/ids.h"
 #include "plugins/membership/memberannouncement.h"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -35,14 +36,20 @@
   OtherLife = 3,
 };
 
+/** Ranks for which waits are reported; the last one stands for all later. */
+inline constexpr size_t ReportedRanks = 3;
+
 /** Load of a target, as its node counts it. */
 struct LoadReport {
   uint16_t SlotsUsed = 0;
   uint16_t Slots = 0;
   uint16_t Queued = 0;
 
-  /** Microseconds that a request which goes last would wait. */
-  uint32_t WaitMicros = 0;
+  /**
+   * Microseconds that a request would wait which can be answered in its aim:
+   * of rank 0, of rank 1, and of any later rank.
+   */
+  std::array<uint32_t, ReportedRanks> WaitMicros{};
 
   MemberState State = MemberState::Starting;
 
@@ -50,8 +57,9 @@
   TargetId Target;
 
   template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->SlotsUsed, this->Slots, this->Queued, this->WaitMicros,
-       this->State, this->Target);
+    Ar(this->SlotsUsed, this->Slots, this->Queued, this->State, this->Target);
+    for (uint32_t &Wait : this->WaitMicros)
+      Ar(Wait);
   }
 };
 
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -1,6 +1,7 @@
 #include "router.h"
 
 #include "kernel/hashing.h"
+#include "waitrule.h"
 
 #include <algorithm>
 #include <set>
@@ -116,7 +117,10 @@
   if (Healthy.empty())
     return nullptr;
   Balancer &Chooser = this->balancer(Rules.Balance);
-  return Healthy[Chooser.choose(Healthy, this->Random)].Upstream;
+  const Candidate &Best = Healthy[Chooser.choose(Healthy, this->Random)];
+  const bool WaitsInVain = !shouldWait(
+      Best.Wait, Best.Run, {.Aim = Best.Aim, .Deadline = Best.Deadline});
+  return WaitsInVain && !Excluded.empty() ? nullptr : Best.Upstream;
 }
 
 const std::vector<Vm> &Router::upstreamsOf(const ServiceEntry &Service) const {
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -74,7 +74,8 @@
 
   /**
    * Returns an upstream for \a Request that is not in \a Excluded, or null
-   * when none takes work.
+   * when none takes work. Null also for a request that was refused before and
+   * would wait too long at the best one left: asking it costs two messages.
    */
   const Vm *pick(const PlacedRequest &Request,
                  std::span<const UpstreamId> Excluded, TimePoint Now);
--- a/src/plugins/routing/upstreamview.cpp
+++ b/src/plugins/routing/upstreamview.cpp
@@ -159,7 +159,9 @@
     return Duration::zero();
   const double Age = std::chrono::duration<double>(Now - this->LoadTime) /
                      std::chrono::duration<double>(LoadHalfLife);
-  const Duration Reported = scaled(microseconds(this->Load.WaitMicros),
+  const auto Rank = static_cast<size_t>(
+      std::clamp<int64_t>(Rules.Priority, 0, ReportedRanks - 1));
+  const Duration Reported = scaled(microseconds(this->Load.WaitMicros[Rank]),
                                    std::exp2(-std::max(0.0, Age)));
   return Reported + scaled(Run, static_cast<double>(this->SentSince) / Slots);
 }
--- a/tests/plugins/overload_test.cpp
+++ b/tests/plugins/overload_test.cpp
@@ -27,6 +27,10 @@
   int InAim = 0;
   int Served = 0;
 
+  /** Requests that waited and were given up, and the time they waited. */
+  int GivenUp = 0;
+  Duration Waited{};
+
   double inAim() const {
     return static_cast<double>(this->InAim) / this->Asked;
   }
@@ -104,9 +108,16 @@
   }
 
   void poll(TimePoint Now) {
-    for (const Dequeued &Each : this->Gate.poll(Now))
-      if (Each.Start)
-        this->start(Each.Key.Number.value() - 1, Now);
+    for (const Dequeued &Each : this->Gate.poll(Now)) {
+      const size_t Index = Each.Key.Number.value() - 1;
+      if (Each.Start) {
+        this->start(Index, Now);
+        continue;
+      }
+      Tally &Of = this->Tallies[this->Jobs[Index].Of->Route];
+      Of.GivenUp += 1;
+      Of.Waited += Now - this->Jobs[Index].Arrival;
+    }
   }
 
   void finish(TimePoint Now) {
@@ -174,6 +185,20 @@
                History.served());
 }
 
+// A third more of one rank than the slots can run, with long deadlines: those
+// that have become late go last, and the load leaves nothing for them.
+Test(overload, late_requests_are_refused_before_their_deadline) {
+  const std::vector<Kind> Kinds = {
+      {"check", 2, 80, milliseconds(150), milliseconds(400), seconds(4)}};
+  const auto Tallies = World(9, 64).replay(loadOf(Kinds, seconds(60)));
+  const Tally &Check = Tallies.at("check");
+  cr_assert_gt(Check.GivenUp, 0);
+  const double Waited =
+      std::chrono::duration<double>(Check.Waited).count() / Check.GivenUp;
+  cr_expect_lt(Waited, 2.0, "given up after %.2f s on average", Waited);
+  cr_expect_gt(Check.inAim(), 0.55, "check in its aim: %.3f", Check.inAim());
+}
+
 // So many long requests wait that the queue is full.
 Test(overload, a_full_queue_makes_room_for_what_is_more_urgent) {
   Admission Gate({.Slots = 1, .Queue = 2});
--- a/tests/support/callworld.cpp
+++ b/tests/support/callworld.cpp
@@ -348,13 +348,12 @@
     return;
   const Upstream::Arrived Ended = Found->second;
   At.Calls.erase(Found);
-  const LoadReport Load{
-      .SlotsUsed = static_cast<uint16_t>(At.Gate->running()),
-      .Slots = static_cast<uint16_t>(this->Options.Slots),
-      .Queued = static_cast<uint16_t>(At.Gate->queued()),
-      .WaitMicros =
-          static_cast<uint32_t>(toMicroseconds(At.Gate->lastWait(this->Now))),
-      .State = At.Draining ? MemberState::Draining : MemberState::Serving};
+  const LoadReport Load{.SlotsUsed = static_cast<uint16_t>(At.Gate->running()),
+                        .Slots = static_cast<uint16_t>(this->Options.Slots),
+                        .Queued = static_cast<uint16_t>(At.Gate->queued()),
+                        .WaitMicros = At.Gate->reportedWaits(this->Now),
+                        .State = At.Draining ? MemberState::Draining
+                                             : MemberState::Serving};
   this->at(this->Now + this->Options.LinkDelay, [=, this, Name = At.Name] {
     this->Routes->onLoad(Name, Load, this->Now);
     Ended.Call->AnswerGood = Good;
