--- a/src/kernel/wirearchive.h
+++ b/src/kernel/wirearchive.h
@@ -71,6 +71,15 @@
   Ar.loadBinary(&Value, sizeof(Value));
 }
 
+/** Throws for a byte that is neither 0 nor 1. */
+inline void load(WireInputArchive &Ar, bool &Value) {
+  uint8_t Byte = 0;
+  Ar.loadBinary(&Byte, sizeof(Byte));
+  if (Byte > 1)
+    throw cereal::Exception("value is not a truth value");
+  Value = Byte == 1;
+}
+
 template <typename T>
 void save(WireOutputArchive &Ar, const cereal::SizeTag<T> &Tag) {
   const auto Size = static_cast<uint32_t>(Tag.size);
--- a/tests/kernel/frame_test.cpp
+++ b/tests/kernel/frame_test.cpp
@@ -51,3 +51,11 @@
   cr_expect_str_eq(Text.c_str(), "abc");
   cr_expect_not(decode(encode(std::string("abc")) + "x", Text));
 }
+
+Test(wirearchive, refuses_a_truth_value_that_is_neither) {
+  bool Value = false;
+  cr_expect(decode(encode(true), Value));
+  cr_expect(Value);
+  cr_expect_not(decode(std::string("\2", 1), Value));
+  cr_expect_not(decode(std::string("\xff", 1), Value));
+}
--- /dev/null
+++ b/tests/plugins/configdocument_test.cpp
@@ -0,0 +1,33 @@
+#include "platform/configdocument.h"
+
+#include <criterion/criterion.h>
+
+using namespace bluebellbarrow; // NOLINT: test
+
+namespace {
+
+/** Returns all branches of a version with one route. */
+std::string branchesOf(const std::string &Attempts) {
+  const Result<StoredConfig> Parsed = parseConfigDocument(
+      R"({"version": "r1", "resources": [{"resourceType": "routes",
+          "metadata": {"name": "one"},
+          "specification": {"hostname": "a", "prefix": "/",
+            "routeKind": "idempotent", "timeout": "2s", "service": "s",
+            "maxAttempts": )" +
+          Attempts + "}}]}",
+      "m");
+  cr_assert(static_cast<bool>(Parsed));
+  std::string Texts;
+  for (const auto &[Path, Text] : Parsed.value().Branches)
+    Texts += Text;
+  return Texts;
+}
+
+} // namespace
+
+Test(configdocument, fewer_attempts_than_one_mean_no_retry) {
+  for (const char *Attempts : {"-9223372036854775808", "-1", "0", "1"})
+    cr_expect(branchesOf(Attempts).find("retries = 0\n") != std::string::npos,
+              "%s", Attempts);
+  cr_expect(branchesOf("3").find("retries = 2\n") != std::string::npos);
+}
