A control stream that has gone silent is given up and opened anew

A stream between two nodes whose bytes are dropped without a reset stays open: offers and pulls went into it until the kernel gave up, and the node stayed 7 to 10 s behind a version (an added route answered 404, a removed one still served).

Change: a push that no answer follows, and a pull that brings nothing, ask for a new stream (RenewLink) before they count the peer as failed. The stream is kept if it moved bytes since the last message. An offer of a version in force elsewhere replaces a pull plan that has brought nothing yet.

Ruled out: a shorter silence limit alone (a long transfer over a slow link would be cut each time); datagrams for offers (they are not what was lost).

Test: spread-muted_streams.trace, red first (a2 had version 1, expected 2; c3 2, expected 4).

--- a/src/plugins/spread/controllinks.cpp
+++ b/src/plugins/spread/controllinks.cpp
@@ -67,6 +67,7 @@
                                           : toFrame(Message);
   const StreamId Stream = this->streamTo(To, Now);
   this->Links[Stream].LastUse = Now;
+  this->Links[Stream].ProgressAtSend = this->Streams.progress(Stream);
   this->Events.Counted(true, controlMessageName(Message),
                        Value.Body.size() + FrameOverhead);
   if (!this->Streams.send(Stream, Value)) {
@@ -139,6 +140,18 @@
   this->Events.Failed(Peer);
 }
 
+void ControlLinks::renew(const Address &To) {
+  const auto Current = this->ByPeer.find(To);
+  if (Current == this->ByPeer.end())
+    return;
+  const StreamId Stream = Current->second;
+  if (this->Streams.progress(Stream) != this->Links[Stream].ProgressAtSend)
+    return;
+  this->ByPeer.erase(Current);
+  this->Links.erase(Stream);
+  this->Streams.abort(Stream);
+}
+
 void ControlLinks::closeIdle(TimePoint Now) {
   for (const auto &[Stream, Each] : this->Links)
     if (Now - Each.LastUse > IdleLimit)
--- a/src/plugins/spread/controllinks.h
+++ b/src/plugins/spread/controllinks.h
@@ -48,6 +48,12 @@
   /** Sends to the node's control port, or answers an observer at its own. */
   void sendDigest(const Address &To, const DigestMessage &Message);
 
+  /**
+   * Gives up the stream to \a To, unless bytes have moved on it since the last
+   * message was sent on it.
+   */
+  void renew(const Address &To);
+
   /** Closes streams that were idle for long. */
   void closeIdle(TimePoint Now);
 
@@ -57,6 +63,9 @@
     TimePoint LastUse;
     bool Outgoing = false;
     bool Greeted = false;
+
+    /** Progress of the stream when the last message was sent on it. */
+    uint64_t ProgressAtSend = 0;
   };
 
   void onReceived(StreamId Stream, const Frame &Value);
--- a/src/plugins/spread/controlplugin.cpp
+++ b/src/plugins/spread/controlplugin.cpp
@@ -27,7 +27,7 @@
   explicit ControlPlugin(NodeContext &Context)
       : Context(Context),
         Owner(Context.Tasks.get({.Name = "control", .MaxSockets = MaxSockets})),
-        Links(Owner, Context.Settings.Ip, Context.Settings.ControlPort,
+        Links(Owner, Context.Settings.BindIp, Context.Settings.ControlPort,
               meshIdOf(Context.Settings.Mesh), this->linkEvents()),
         Platform(sourceOf(Context.Settings, Owner)),
         Compiler(defaultsFrom(Context.Settings.Overrides)),
@@ -70,7 +70,7 @@
                                                   Task &Owner) {
     return PlatformSourceRegistry::instance().create(
         Settings.PlatformProtocol, {.Owner = Owner,
-                                    .LocalIp = Settings.Ip,
+                                    .LocalIp = Settings.BindIp,
                                     .Platform = Settings.Platform,
                                     .Mesh = Settings.Mesh});
   }
@@ -168,6 +168,8 @@
     this->Links.send(Action.To, Action.Message, Task::now());
   }
 
+  void act(const RenewLink &Action) { this->Links.renew(Action.To); }
+
   void act(const ReadPlatform &Action) {
     this->Platform->read(Action,
                          [this, Kind = Action.Kind](const ReadResult &Result) {
--- a/src/plugins/spread/pullcontrol.cpp
+++ b/src/plugins/spread/pullcontrol.cpp
@@ -24,6 +24,13 @@
   this->Next = Plan{.Peer = Peer, .Tag = Tag, .Due = Due};
 }
 
+void PullControl::onOffer(const Address &Peer, const VersionTag &Tag,
+                          TimePoint Now) {
+  if (this->Next && this->Next->Proven && this->Next->Tag >= Tag)
+    return;
+  this->Next = Plan{.Peer = Peer, .Tag = Tag, .Due = Now, .Proven = true};
+}
+
 void PullControl::onBusy(const Address &Peer, const BusyMessage &Message,
                          TimePoint Now) {
   this->onTransfer(Peer);
@@ -63,10 +70,21 @@
     this->Next.reset();
 }
 
+void PullControl::onSilent(const VersionId &Have, TimePoint Now,
+                           SpreadActions &Actions) {
+  const Pull Silent = *this->Active;
+  this->Active.reset();
+  Actions.emplace_back(RenewLink{Silent.Peer});
+  if (Silent.Again || this->Next)
+    return;
+  this->pull(Silent.Peer, Have, Now, Actions);
+  this->Active->Again = true;
+}
+
 void PullControl::poll(const VersionId &Have, TimePoint Now,
                        SpreadActions &Actions) {
   if (this->Active && Now >= this->Active->Deadline)
-    this->Active.reset();
+    this->onSilent(Have, Now, Actions);
   if (this->Active || !this->Next || Now < this->Next->Due)
     return;
   const Address Peer = this->Next->Peer;
--- a/src/plugins/spread/pullcontrol.h
+++ b/src/plugins/spread/pullcontrol.h
@@ -19,12 +19,15 @@
   PullControl(ItemKind Kind, uint64_t Seed) : Kind(Kind), Random(Seed) {}
 
   /**
-   * A peer has a wanted version. The pull starts after a short random delay,
-   * or at once for \a Urgent.
+   * A peer has a wanted version, by a digest. The pull starts after a short
+   * random delay, or at once for \a Urgent.
    */
   void onNewer(const Address &Peer, const VersionTag &Tag, bool Urgent,
                TimePoint Now);
 
+  /** A peer offers a wanted version on a stream, which therefore works. */
+  void onOffer(const Address &Peer, const VersionTag &Tag, TimePoint Now);
+
   /** The peer can't serve now; asks \a Other, or the peer again, later. */
   void onBusy(const Address &Peer, const BusyMessage &Message, TimePoint Now);
 
@@ -47,7 +50,11 @@
   /** Forgets plans for versions that are in force. */
   void onApplied(const VersionTag &InForce);
 
-  /** Appends the pull that is due. \a Have is the version in force. */
+  /**
+   * Appends the pull that is due, and the end of one that was not answered:
+   * its link is renewed and the peer asked once more. \a Have is the version
+   * in force.
+   */
   void poll(const VersionId &Have, TimePoint Now, SpreadActions &Actions);
 
 private:
@@ -55,14 +62,21 @@
     Address Peer;
     VersionTag Tag;
     TimePoint Due;
+
+    /** The stream to the peer is known to work. */
+    bool Proven = false;
   };
 
   struct Pull {
     Address Peer;
     TimePoint Deadline;
+
+    /** The peer was silent before. */
+    bool Again = false;
   };
 
   Duration drawDelay();
+  void onSilent(const VersionId &Have, TimePoint Now, SpreadActions &Actions);
 
   ItemKind Kind;
   std::mt19937_64 Random;
--- a/src/plugins/spread/pushtracker.cpp
+++ b/src/plugins/spread/pushtracker.cpp
@@ -5,6 +5,13 @@
 
 namespace bluebellbarrow {
 
+namespace {
+
+/** Time after which a receiver whose children are adopted counts as silent. */
+constexpr Duration SilenceLimit = milliseconds(700);
+
+} // namespace
+
 template <typename Predicate>
 std::vector<OpenPush> PushTracker::takeIf(Predicate Matches) {
   const auto First = std::stable_partition(
@@ -24,13 +31,28 @@
 }
 
 std::vector<OpenPush> PushTracker::takeFailed(const Address &Peer) {
-  return this->takeIf(
-      [&Peer](const OpenPush &Each) { return Each.Peer == Peer; });
+  std::vector<OpenPush> Failed =
+      this->takeIf([&Peer](const OpenPush &Each) { return Each.Peer == Peer; });
+  std::erase_if(Failed, [](const OpenPush &Each) { return Each.Adopted; });
+  return Failed;
 }
 
-std::vector<OpenPush> PushTracker::takeOverdue(TimePoint Now) {
-  return this->takeIf(
-      [Now](const OpenPush &Each) { return Now >= Each.Deadline; });
+std::vector<OpenPush> PushTracker::adoptOverdue(TimePoint Now) {
+  std::vector<OpenPush> Overdue;
+  for (OpenPush &Each : this->Open) {
+    if (Each.Adopted || Now < Each.Deadline)
+      continue;
+    Overdue.push_back(Each);
+    Each.Adopted = true;
+    Each.Deadline = Now + SilenceLimit;
+  }
+  return Overdue;
+}
+
+std::vector<OpenPush> PushTracker::takeSilent(TimePoint Now) {
+  return this->takeIf([Now](const OpenPush &Each) {
+    return Each.Adopted && Now >= Each.Deadline;
+  });
 }
 
 } // namespace bluebellbarrow
--- a/src/plugins/spread/pushtracker.h
+++ b/src/plugins/spread/pushtracker.h
@@ -14,6 +14,9 @@
   VersionTag Version;
   PushTree Tree;
   TimePoint Deadline;
+
+  /** Its receiver's children have been pushed to in its place. */
+  bool Adopted = false;
 };
 
 /**
@@ -31,11 +34,20 @@
   /** \a Peer has a version of \a Kind that is not older than \a Version. */
   void onAck(const Address &Peer, ItemKind Kind, const VersionTag &Version);
 
-  /** Removes and returns the pushes to \a Peer, which can't be reached. */
+  /**
+   * Removes the pushes to \a Peer, which can't be reached, and returns those
+   * that are not adopted yet.
+   */
   std::vector<OpenPush> takeFailed(const Address &Peer);
 
-  /** Removes and returns the pushes whose time is over. */
-  std::vector<OpenPush> takeOverdue(TimePoint Now);
+  /**
+   * Returns the pushes whose time is over, once each: their receivers'
+   * children are left to the caller. They stay open until takeSilent().
+   */
+  std::vector<OpenPush> adoptOverdue(TimePoint Now);
+
+  /** Removes and returns the pushes that were not answered at all. */
+  std::vector<OpenPush> takeSilent(TimePoint Now);
 
   void clear() { this->Open.clear(); }
 
--- a/src/plugins/spread/spread.cpp
+++ b/src/plugins/spread/spread.cpp
@@ -90,7 +90,8 @@
   this->pollReads(Now);
   this->pollDigests(Now);
   this->pollAsk(Now);
-  this->adopt(this->Pushes.takeOverdue(Now), Now);
+  this->adopt(this->Pushes.adoptOverdue(Now), Now);
+  this->renewSilent(Now);
   this->expireLapsed(Now);
   if (this->holding(Now))
     return;
--- a/src/plugins/spread/spread.h
+++ b/src/plugins/spread/spread.h
@@ -206,6 +206,7 @@
             TimePoint Now);
   void offer(const Address &To, ItemKind Kind, TimePoint Now);
   void adopt(const std::vector<OpenPush> &Lost, TimePoint Now);
+  void renewSilent(TimePoint Now);
   void
   forwardAnnouncements(const std::vector<MemberAnnouncement> &Announcements,
                        const Address &From);
--- a/src/plugins/spread/spreadactions.h
+++ b/src/plugins/spread/spreadactions.h
@@ -22,6 +22,14 @@
   ControlMessage Message;
 };
 
+/**
+ * Gives up the control stream to a node that has not answered, unless bytes
+ * have moved on it since the last message; the next message opens another.
+ */
+struct RenewLink {
+  Address To;
+};
+
 /** Reads the manifest or the VM list at the platform. */
 struct ReadPlatform {
   ItemKind Kind = ItemKind::Config;
@@ -50,7 +58,7 @@
 };
 
 using SpreadAction =
-    std::variant<SendDigest, SendControl, ReadPlatform, ReadPart,
+    std::variant<SendDigest, SendControl, RenewLink, ReadPlatform, ReadPart,
                  VersionInForce, MemberChanged, AuditEvent>;
 
 using SpreadActions = std::vector<SpreadAction>;
--- a/src/plugins/spread/spreadmessaging.cpp
+++ b/src/plugins/spread/spreadmessaging.cpp
@@ -85,7 +85,7 @@
   if (Message.Kind == ItemKind::Config)
     this->Boot.onHeard(tagOf(Message.Version), Now);
   if (Target.Ledger.judge(Message.Version) == Verdict::Wanted)
-    Target.Pulls.onNewer(From, tagOf(Message.Version), true, Now);
+    Target.Pulls.onOffer(From, tagOf(Message.Version), Now);
 }
 
 void Spread::onTransfer(const Address &From, const TransferMessage &Message,
--- a/src/plugins/spread/spreadpush.cpp
+++ b/src/plugins/spread/spreadpush.cpp
@@ -159,6 +159,15 @@
   }
 }
 
+void Spread::renewSilent(TimePoint Now) {
+  for (const OpenPush &Each : this->Pushes.takeSilent(Now)) {
+    const VersionId Version = this->store(Each.Kind).currentId();
+    this->Actions.emplace_back(RenewLink{Each.Peer});
+    this->Actions.emplace_back(SendControl{
+        Each.Peer, OfferMessage{.Kind = Each.Kind, .Version = Version}});
+  }
+}
+
 void Spread::onSendFailed(const Address &To, TimePoint Now) {
   this->adopt(this->Pushes.takeFailed(To), Now);
   for (Stream &Each : this->Streams)
--- a/tests/support/spreadworld.cpp
+++ b/tests/support/spreadworld.cpp
@@ -75,6 +75,17 @@
       Text += " " + Word;
     this->line(Text);
   }
+  if (Verb == "run")
+    this->run(milliseconds(toNumber(Words[1])));
+  else if (Verb == "expect")
+    this->expect(Words);
+  else if (!this->executeSetup(Words) && !this->executeNode(Words) &&
+           !this->executeLink(Words))
+    this->executePlatform(Words);
+}
+
+bool SpreadWorld::executeSetup(const std::vector<std::string> &Words) {
+  const std::string &Verb = Words[0];
   if (Verb == "exact") {
     this->Exact = true;
   } else if (Verb == "profile") {
@@ -87,51 +98,82 @@
                                     .Ip = Address(Ip),
                                     .Domain = FailureDomain(Words[2]),
                                     .Service = ServiceName("s")};
-  } else if (Verb == "slow") {
-    for (const Node *Each : this->chosen(Words[1]))
-      this->Slow.insert(Each->Listed.Name.str());
-  } else if (Verb == "quick") {
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool SpreadWorld::executeNode(const std::vector<std::string> &Words) {
+  using Step = void (SpreadWorld::*)(Node &);
+  static const std::map<std::string, Step> Steps = {
+      {"slow", &SpreadWorld::slowDown},
+      {"quick", &SpreadWorld::speedUp},
+      {"start", &SpreadWorld::startLater},
+      {"start-clock-back", &SpreadWorld::startEarlier},
+      {"kill", &SpreadWorld::kill},
+      {"drain", &SpreadWorld::drain},
+      {"freeze", &SpreadWorld::freeze},
+      {"thaw", &SpreadWorld::thaw}};
+  const auto Found = Steps.find(Words[0]);
+  if (Found == Steps.end())
+    return false;
+  for (Node *Each : this->chosen(Words[1]))
+    (this->*Found->second)(*Each);
+  return true;
+}
+
+void SpreadWorld::slowDown(Node &Target) {
+  this->Slow.insert(Target.Listed.Name.str());
+}
+
+void SpreadWorld::speedUp(Node &Target) {
+  this->Slow.erase(Target.Listed.Name.str());
+}
+
+void SpreadWorld::startLater(Node &Target) { this->start(Target, false); }
+
+void SpreadWorld::startEarlier(Node &Target) { this->start(Target, true); }
+
+void SpreadWorld::kill(Node &Target) { Target.Decisions.reset(); }
+
+void SpreadWorld::drain(Node &Target) {
+  Target.Decisions->setOwnState(MemberState::Draining, this->Now);
+  this->carryOut(Target);
+}
+
+void SpreadWorld::freeze(Node &Target) { Target.Frozen = true; }
+
+void SpreadWorld::thaw(Node &Target) {
+  Target.Frozen = false;
+  while (!Target.Held.empty()) {
+    const auto Work = std::move(Target.Held.front());
+    Target.Held.pop_front();
+    Work();
+  }
+}
+
+bool SpreadWorld::executeLink(const std::vector<std::string> &Words) {
+  const std::string &Verb = Words[0];
+  if (Verb == "mute") {
     for (const Node *Each : this->chosen(Words[1]))
-      this->Slow.erase(Each->Listed.Name.str());
-  } else if (Verb == "start" || Verb == "start-clock-back") {
-    for (Node *Each : this->chosen(Words[1]))
-      this->start(*Each, Verb == "start-clock-back");
-  } else if (Verb == "kill") {
-    for (Node *Each : this->chosen(Words[1]))
-      Each->Decisions.reset();
-  } else if (Verb == "drain") {
-    for (Node *Each : this->chosen(Words[1])) {
-      Each->Decisions->setOwnState(MemberState::Draining, this->Now);
-      this->carryOut(*Each);
-    }
-  } else if (Verb == "freeze") {
-    for (Node *Each : this->chosen(Words[1]))
-      Each->Frozen = true;
-  } else if (Verb == "thaw") {
-    for (Node *Each : this->chosen(Words[1])) {
-      Each->Frozen = false;
-      while (!Each->Held.empty()) {
-        const auto Work = std::move(Each->Held.front());
-        Each->Held.pop_front();
-        Work();
+      for (const auto &[Name, Other] : this->Nodes) {
+        this->Muted.insert({Each->Listed.Name.str(), Name});
+        this->Muted.insert({Name, Each->Listed.Name.str()});
       }
-    }
   } else if (Verb == "cut" || Verb == "cut-one-way") {
-    for (Node *From : this->chosen(Words[1]))
-      for (Node *To : this->chosen(Words[2])) {
+    for (const Node *From : this->chosen(Words[1]))
+      for (const Node *To : this->chosen(Words[2])) {
         this->Cuts.insert({From->Listed.Name.str(), To->Listed.Name.str()});
         if (Verb == "cut")
           this->Cuts.insert({To->Listed.Name.str(), From->Listed.Name.str()});
       }
   } else if (Verb == "heal") {
     this->Cuts.clear();
-  } else if (Verb == "run") {
-    this->run(milliseconds(toNumber(Words[1])));
-  } else if (Verb == "expect") {
-    this->expect(Words);
   } else {
-    this->executePlatform(Words);
+    return false;
   }
+  return true;
 }
 
 void SpreadWorld::executePlatform(const std::vector<std::string> &Words) {
@@ -383,6 +425,11 @@
   return !this->Cuts.contains({From, To});
 }
 
+bool SpreadWorld::streams(const std::string &From, const Node &To) const {
+  const std::string Name = To.Listed.Name.str();
+  return this->linked(Name, From) && !this->Muted.contains({From, Name});
+}
+
 void SpreadWorld::sendFrom(
     Node &Source, const Address &To,
     const std::function<void(Node &, const Address &)> &Deliver,
@@ -390,9 +437,8 @@
   Node *Target = this->byAddress(To);
   const std::string From = Source.Listed.Name.str();
   const bool Alive = Target != nullptr && Target->Decisions != nullptr;
-  const bool Open =
-      Alive && this->linked(From, Target->Listed.Name.str()) &&
-      (!Reliable || this->linked(Target->Listed.Name.str(), From));
+  const bool Open = Alive && this->linked(From, Target->Listed.Name.str()) &&
+                    (!Reliable || this->streams(From, *Target));
   if (Open) {
     this->toNode(
         Target->Listed.Name.str(), Target->Life, LinkDelay,
@@ -421,6 +467,14 @@
           To.Decisions->onMessage(From, Message, this->Now);
         },
         true);
+  } else if (const auto *Renewed = std::get_if<RenewLink>(&Action)) {
+    const Node *To = this->byAddress(Renewed->To);
+    if (To == nullptr)
+      return;
+    // Both sides use the stream that is opened next.
+    const std::string From = Source.Listed.Name.str();
+    this->Muted.erase({From, To->Listed.Name.str()});
+    this->Muted.erase({To->Listed.Name.str(), From});
   } else if (const auto *Read = std::get_if<ReadPlatform>(&Action)) {
     this->Reads += 1;
     this->Turn = !this->Turn;
--- a/tests/support/spreadworld.h
+++ b/tests/support/spreadworld.h
@@ -65,9 +65,23 @@
   };
 
   void execute(const std::vector<std::string> &Words);
+
+  /** Each returns whether the command is one of its own. */
+  bool executeSetup(const std::vector<std::string> &Words);
+  bool executeNode(const std::vector<std::string> &Words);
+  bool executeLink(const std::vector<std::string> &Words);
+
   void executePlatform(const std::vector<std::string> &Words);
   void expect(const std::vector<std::string> &Words);
   void start(Node &Target, bool ClockBack);
+  void startLater(Node &Target);
+  void startEarlier(Node &Target);
+  void slowDown(Node &Target);
+  void speedUp(Node &Target);
+  void kill(Node &Target);
+  void drain(Node &Target);
+  void freeze(Node &Target);
+  void thaw(Node &Target);
   void publish(uint64_t Number, const std::string &What,
                const std::string &Hold);
   void publishVmList();
@@ -90,6 +104,7 @@
   void line(const std::string &Text);
   void fail(const std::string &Text);
   bool linked(const std::string &From, const std::string &To) const;
+  bool streams(const std::string &From, const Node &To) const;
   std::vector<Node *> chosen(const std::string &Name);
   std::string numberOf(const Node &Of) const;
   Node *byAddress(const Address &Ip);
@@ -124,6 +139,9 @@
   std::string Profile = "readers = 2";
   std::vector<Watch> Watches;
   std::set<std::pair<std::string, std::string>> Cuts;
+
+  /** Pairs whose open stream carries nothing any more, by sender first. */
+  std::set<std::pair<std::string, std::string>> Muted;
   std::vector<std::string> Failures;
   std::string Session;
 };
