[listen] bind-address: where ports for peers and control are bound

Cause: a node binds the address that it announces, so nothing can stand between two nodes, neither an address translation nor the soak's links.

Change: a setting for the address that is bound; without it the node's own address as before. It can't change while the node runs.

Ruled out: a setting for the announced address (the platform's list decides that one).

--- a/src/kernel/nodesettings.cpp
+++ b/src/kernel/nodesettings.cpp
@@ -15,7 +15,7 @@
 constexpr double MaxPort = 65535;
 constexpr double Second = 1e6;
 
-const std::array<KeySpec, 28> Keys = {{
+const std::array<KeySpec, 29> Keys = {{
     {"node", "mesh", KeyType::Text, 1, 63, "", "name of the mesh"},
     {"node", "name", KeyType::Text, 1, 63, "", "name of the VM"},
     {"node", "address", KeyType::Text, 1, 63, "", "IP number of the VM"},
@@ -35,6 +35,9 @@
     {"target", "health", KeyType::Text, 1, 150, "/health", "path to probe"},
     {"target", "forward-headers", KeyType::Text, 0, 190, "",
      "without effect: every header is handed on"},
+    {"listen", "bind-address", KeyType::Text, 0, 63, "",
+     "IP number that peers and control are bound to, where the VM's own is "
+     "translated to it; empty for the VM's own"},
     {"listen", "callers", KeyType::Text, 1, 63, "15001",
      "TCP port for callers, with or without 'IP:'"},
     {"listen", "peers", KeyType::Count, 1, MaxPort, "15002",
@@ -123,7 +126,7 @@
   const std::string Key = Spec.Key;
   if (Key == "address" || Key == "admin-address")
     return checkEndpoint(Entry.Value);
-  if (Key == "ready" && !Entry.Value.empty())
+  if ((Key == "ready" || Key == "bind-address") && !Entry.Value.empty())
     return checkEndpoint(Entry.Value);
   if (Key == "seeds") {
     const auto Seeds = parseSeeds(Entry.Value);
@@ -171,6 +174,9 @@
       .Mesh = Text("node/mesh"),
       .Name = VmName(Text("node/name")),
       .Ip = Ip,
+      .BindIp = Text("listen/bind-address").empty()
+                    ? Ip
+                    : Address(Text("listen/bind-address")),
       .Domain = FailureDomain(Text("node/domain")),
       .Service = ServiceName(Text("node/service")),
       .Threads = Port("node/threads"),
--- a/src/kernel/nodesettings.h
+++ b/src/kernel/nodesettings.h
@@ -39,6 +39,10 @@
   std::string Mesh;
   VmName Name;
   Address Ip;
+
+  /** Address that the ports for other nodes are bound to. */
+  Address BindIp;
+
   FailureDomain Domain;
   ServiceName Service;
 
--- a/src/plugins/http/dataplugin.cpp
+++ b/src/plugins/http/dataplugin.cpp
@@ -39,7 +39,7 @@
                [this] { this->hastenTick(); }),
         Origin(Owner, Context.Settings, *Dialect, Self, Target,
                Context.Counters),
-        Peers(Owner, Context.Settings.Ip, Context.Settings.PeerPort, Self,
+        Peers(Owner, Context.Settings.BindIp, Context.Settings.PeerPort, Self,
               this->peerEvents()),
         Probe(Owner, Context.Settings,
               [this](MemberState State) { this->onTargetState(State); }),
@@ -49,8 +49,8 @@
   Result<std::monostate> prepare() override {
     const NodeSettings &Settings = this->Context.Settings;
     if (!this->Origin.listening() || !this->Peers.listening())
-      return makeError(Errc::Unreachable, "listen for calls", Settings.Ip.str(),
-                       "a port can't be bound");
+      return makeError(Errc::Unreachable, "listen for calls",
+                       Settings.BindIp.str(), "a port can't be bound");
     NodeBus &Bus = this->Context.Bus;
     Bus.Snapshots.subscribe(this->Owner,
                             [this](const SnapshotMessage &Message) {
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -81,7 +81,7 @@
                  this->Counters.add(Metric::Malformed, "callers");
                }}),
       Peers(
-          Owner, Settings.Ip, Settings.PeerPort, Self,
+          Owner, Settings.BindIp, Settings.PeerPort, Self,
           {.Reply = [this](const ReplyMessage &Reply) { this->onReply(Reply); },
            .CancelReply =
                [this](const CancelReplyMessage &Reply) {
--- a/src/plugins/settingswatch.cpp
+++ b/src/plugins/settingswatch.cpp
@@ -24,13 +24,14 @@
   return Old.*Member != New.*Member;
 }
 
-constexpr std::array<FixedSetting, 10> FixedSettings = {{
+constexpr std::array<FixedSetting, 11> FixedSettings = {{
     {"node/mesh", differs<&NodeSettings::Mesh>},
     {"node/name", differs<&NodeSettings::Name>},
     {"node/address", differs<&NodeSettings::Ip>},
     {"node/domain", differs<&NodeSettings::Domain>},
     {"node/threads", differs<&NodeSettings::Threads>},
     {"platform", differs<&NodeSettings::Platform>},
+    {"listen/bind-address", differs<&NodeSettings::BindIp>},
     {"listen/callers", differs<&NodeSettings::Callers>},
     {"listen/peers", differs<&NodeSettings::PeerPort>},
     {"listen/control", differs<&NodeSettings::ControlPort>},
