--- a/tests/standins/httpio.py
+++ b/tests/standins/httpio.py
@@ -62,8 +62,9 @@
 
 def reset(writer):
     """Closes a connection with a reset."""
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if not writer.is_closing():
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -153,4 +153,5 @@
         await server.serve_forever()
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
