The soak frees its addresses at the end of a run

Change: the proxy, the store and the targets close their servers at the end.

Ruled out: ephemeral ports (the range begins at 32768; the ports are 16000 to 16011) and a second process on the network (the holder's socket was taken).

Before: three proxies on one network one after the other failed at the second. After: all three start.

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -98,6 +98,7 @@
         self.links = [Links() for _ in range(count)]
         self.streams = set()
         self.ends = {}
+        self.servers = []
         self.chance = random.Random(1)
 
     def announced(self, number):
@@ -115,17 +116,24 @@
     async def start(self, tcp_ports, udp_port):
         for number in range(len(self.links)):
             for port in tcp_ports:
-                await asyncio.start_server(
+                self.servers.append(await asyncio.start_server(
                     self.peer_handler(number, port), self.announced(number),
-                    port)
-            await asyncio.start_server(self.store_handler(number),
-                                       self.store_address(number),
-                                       self.store[1])
+                    port))
+            self.servers.append(await asyncio.start_server(
+                self.store_handler(number), self.store_address(number),
+                self.store[1]))
             _, end = await asyncio.get_running_loop().create_datagram_endpoint(
                 lambda each=number: DatagramEnd(self, each),
                 local_addr=(self.announced(number), udp_port))
             self.ends[number] = (end, udp_port)
 
+    def end(self):
+        """Frees all addresses."""
+        for server in self.servers:
+            server.close()
+        for end, _ in self.ends.values():
+            end.transport.abort()
+
     def peer_handler(self, to, port):
         async def handle(reader, writer):
             source = self.number_of(writer.get_extra_info("peername")[0])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -88,8 +88,9 @@
     # Starts.
 
     async def start(self):
-        await asyncio.start_server(self.store.serve, self.fleet.store_address,
-                                   STORE_PORT, limit=2 ** 24)
+        self.proxy.servers.append(await asyncio.start_server(
+            self.store.serve, self.fleet.store_address, STORE_PORT,
+            limit=2 ** 24))
         await self.proxy.start(INNER_PORTS, INNER_PORTS[1])
         await self.publish()
         for node in self.nodes:
@@ -226,3 +227,7 @@
         for task in self.tasks:
             task.cancel()
         self.fleet.end()
+        self.proxy.end()
+        for node in self.nodes:
+            if node.target:
+                node.target.server.close()
