The stand-in target ends its stream together with the answer

The stand-in closed its connection some time after its answer; a request that is not idempotent and was sent in between has an unknown outcome, and 502 says so. The test meant a connection that is closed when the answer comes.

Ruled out: a fault of the node: with 20 ms between answer and close the test failed each time in the same way, with the code before and after.

Change: answer and end go out in one segment (TCP_CORK). The check stays.

--- a/tests/standins/meshtarget.py
+++ b/tests/standins/meshtarget.py
@@ -17,12 +17,21 @@
 
 import asyncio
 import json
+import socket
 import sys
 import urllib.parse
 
 from httpio import answer_bytes, read_body, read_head, reset
 
 
+def write_with_end(writer, data):
+    """Writes data and the end of the stream in one segment."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+    writer.write(data)
+    writer.write_eof()
+
+
 class Target:
     def __init__(self, instance, slots):
         self.instance = instance
@@ -111,9 +120,12 @@
             writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + good)
         elif mode == "error":
             writer.write(answer_bytes(500, self.headers(request_id), b"no"))
+        elif mode == "close":
+            write_with_end(writer, good)
+            return False
         else:
             writer.write(good)
-        return mode != "close"
+        return True
 
     async def run(self, head, reader, writer):
         """Takes one request; returns False when the connection ends."""
