Calls at both nodes: translation, budgets and the time to come back are objects

Tests, new: claims of callers are replaced, only a marked answer is one, not run is what the target says, a lost answer is unknown, the time left has limits.

--- a/bench/loadsim/simnode.cpp
+++ b/bench/loadsim/simnode.cpp
@@ -102,13 +102,6 @@
       Delay, [&Other, Work = std::move(Work)] { Other.process(Work); });
 }
 
-RetryBudget &SimNode::budgetOf(const ServiceName &Service) {
-  const TimePoint Now = this->Shared.Events.now();
-  const RetryBudgetOptions Options =
-      retryShare(this->Shared.Variant.Rules, this->Shared.Nodes.size());
-  return this->Budgets.try_emplace(Service, Options, Now).first->second;
-}
-
 void SimNode::call(SimCall Made) {
   if (this->Down) {
     this->Shared.Events.after(NoConnectionTime, [Made = std::move(Made)] {
@@ -132,7 +125,9 @@
                         .Route = RouteName(Kind.Name),
                         .Aim = Call->Aim,
                         .Deadline = Call->Deadline},
-        *this->Routes, this->budgetOf(Service));
+        *this->Routes,
+        this->Budgets.of(Service, this->Shared.Variant.Rules,
+                         this->Shared.Nodes.size(), Now));
     this->Open.insert(Call);
     this->carryOut(Call, Call->Decisions->start(Now));
   });
--- a/bench/loadsim/simnode.h
+++ b/bench/loadsim/simnode.h
@@ -5,6 +5,7 @@
 #include "experiment.h"
 #include "plugins/admission/admission.h"
 #include "plugins/routing/exchange.h"
+#include "plugins/routing/retrybudgets.h"
 #include "simtarget.h"
 
 #include <functional>
@@ -93,7 +94,6 @@
   void act(const PendingPtr &Call, const CancelAttempt &Action);
   void finish(const PendingPtr &Call, const SimAnswer &Answer);
   void scheduleTime(const PendingPtr &Call);
-  RetryBudget &budgetOf(const ServiceName &Service);
 
   void arrive(const RequestKey &Key, Arrived Request);
   void onCancel(const RequestKey &Key, bool Stop);
@@ -116,7 +116,7 @@
   std::set<PendingPtr> Open;
 
   bool Down = false;
-  std::map<ServiceName, RetryBudget> Budgets;
+  RetryBudgets Budgets;
   std::unique_ptr<Admission> Gate;
   std::map<RequestKey, Arrived> Here;
   TimePoint FreeAt;
--- a/src/plugins/http/origincalls.cpp
+++ b/src/plugins/http/origincalls.cpp
@@ -1,16 +1,11 @@
 #include "origincalls.h"
 
-#include "kernel/hashing.h"
 #include "kernel/httpheaders.h"
 #include "kernel/log.h"
 #include "plugins/metrics/metrics.h"
 #include "upstreamcalls.h"
 
 #include <algorithm>
-#include <array>
-#include <cctype>
-#include <charconv>
-#include <cstdio>
 
 namespace bluebellbarrow {
 
@@ -26,33 +21,10 @@
 /** Time after which a caller may find a node ready that was not. */
 constexpr Duration NotReadyRetryAfter = milliseconds(300);
 
-/** Share by which the time to come back is spread. */
-constexpr double RetryAfterSpread = 0.5;
-
 constexpr int StatusNotRun = 503;
 constexpr int StatusUnknown = 502;
 constexpr int StatusLate = 504;
 
-/** Returns the host that a request names: in lower case, without a port. */
-std::string hostOf(const HttpRequest &Request) {
-  std::string Host(headerValue(Request.Headers, "host"));
-  Host.resize(std::min(Host.size(), Host.find(':')));
-  std::transform(
-      Host.begin(), Host.end(), Host.begin(),
-      [](unsigned char Each) { return static_cast<char>(std::tolower(Each)); });
-  return Host;
-}
-
-int64_t numberHeader(const HttpRequest &Request, const std::string &Name,
-                     int64_t Default) {
-  int64_t Number = Default;
-  if (Name.empty())
-    return Number;
-  const std::string_view Text = headerValue(Request.Headers, Name);
-  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
-  return Number;
-}
-
 uint64_t microsUntil(TimePoint Then, TimePoint Now) {
   return static_cast<uint64_t>(
       std::max<int64_t>(0, toMicroseconds(Then - Now)));
@@ -63,9 +35,9 @@
 OriginCalls::OriginCalls(Task &Owner, const NodeSettings &Settings,
                          const CallDialect &Dialect, const PeerIdentity &Self,
                          UpstreamCalls &Local, Metrics &Counters)
-    : Owner(Owner), Service(Settings.Service), Dialect(Dialect), Self(Self),
+    : Owner(Owner), Service(Settings.Service), Messages(Dialect), Self(Self),
       Local(Local), Counters(Counters), Routes(Self.Name, Self.Life.value()),
-      Random(Self.Life.value()),
+      ReturnTimes(Self.Life.value()),
       Callers(
           Owner,
           {.Name = "callers",
@@ -125,51 +97,20 @@
        .MaxHeldBytes = static_cast<size_t>(Limits.MaxHeld)});
 }
 
-RetryBudget &OriginCalls::budgetOf(const ServiceEntry &Service, TimePoint Now) {
-  const RetryBudgetOptions Options =
-      retryShare(Service.Effective, this->Current->VmCount);
-  const auto [Known, New] =
-      this->Budgets.try_emplace(Service.Name, Options, Now);
-  if (!New)
-    Known->second.setOptions(Options);
-  return Known->second;
-}
-
-HttpResponse OriginCalls::ownAnswer(int Status, const char *Outcome,
-                                    const std::string &Reason) const {
-  const CallHeaderNames &Names = this->Dialect.names();
-  HttpResponse Response{.Status = Status, .Headers = {}, .Body = Reason + "\n"};
-  const std::array<HttpHeader, 3> Properties = {
-      {{Names.Outcome, Outcome}, {Names.Reason, Reason}, {Names.NoRetry, "1"}}};
-  for (const HttpHeader &Each : Properties)
-    if (!Each.Name.empty())
-      Response.Headers.push_back(Each);
-  return Response;
-}
-
-void OriginCalls::setRetryAfter(HttpResponse &Response, Duration Time) {
-  std::uniform_real_distribution<double> Draw(1, 1 + RetryAfterSpread);
-  const std::chrono::duration<double> Seconds = Time;
-  std::array<char, 32> Text{};
-  std::snprintf(Text.data(), Text.size(), "%.3f",
-                Seconds.count() * Draw(this->Random));
-  Response.Headers.push_back({header::RetryAfter, Text.data()});
-}
-
 void OriginCalls::refuse(ExchangeId Caller, const HttpRequest &Request,
                          int Status, const std::string &Reason) {
   this->Counters.add(Metric::Refused, Reason);
   logEvent(
       LogLevel::Info, "request refused",
-      {{"request", this->requestId(Request)},
+      {{"request", this->Messages.requestId(Request)},
        {"target", Request.Target},
        {"status", Status},
        {"reason", Reason},
        {"version", this->Current == nullptr ? std::string("none")
                                             : this->Current->Version.text()}});
-  HttpResponse Response = this->ownAnswer(Status, "not-run", Reason);
+  HttpResponse Response = this->Messages.ownAnswer(Status, "not-run", Reason);
   if (Status == StatusNotRun)
-    this->setRetryAfter(Response, NotReadyRetryAfter);
+    this->ReturnTimes.addTo(Response, NotReadyRetryAfter);
   this->answer(Caller, std::move(Response), "not-run");
 }
 
@@ -179,10 +120,6 @@
   this->Callers.respond(Caller, std::move(Response));
 }
 
-std::string_view OriginCalls::requestId(const HttpRequest &Request) const {
-  return headerValue(Request.Headers, this->Dialect.names().RequestId);
-}
-
 void OriginCalls::onRequest(ExchangeId Caller, const HttpRequest &Request) {
   if (this->Current == nullptr) {
     this->refuse(Caller, Request, StatusNotRun, "no version is in force yet");
@@ -193,12 +130,12 @@
     return;
   }
   const RouteEntry *Route = this->Current->Routes->find(
-      hostOf(Request), Request.Method, pathOf(Request.Target));
+      this->Messages.host(Request), Request.Method, pathOf(Request.Target));
   if (Route == nullptr || Route->Shares.empty()) {
     this->refuse(Caller, Request, 404, "no route matches");
     return;
   }
-  if (numberHeader(Request, this->Dialect.names().Depth, 0) >= MaxDepth) {
+  if (this->Messages.depth(Request) >= MaxDepth) {
     this->refuse(Caller, Request, 508, "too many calls in a chain");
     return;
   }
@@ -209,45 +146,25 @@
   this->begin(Caller, Request, *Route);
 }
 
-RequestMessage OriginCalls::toMessage(const HttpRequest &Request,
-                                      const RouteEntry &Route,
-                                      const ServiceEntry &Service) const {
-  const int64_t Depth =
-      numberHeader(Request, this->Dialect.names().Depth, 0) + 1;
-  RequestMessage Message{.Service = Service.Name,
-                         .Route = Route.Name,
-                         .Caller = this->Service,
-                         .Priority =
-                             static_cast<uint8_t>(Route.Effective->Priority),
-                         .Idempotent = Route.Effective->Idempotent,
-                         .Depth = static_cast<uint8_t>(Depth),
-                         .Call = Request};
-  removeConnectionHeaders(Message.Call.Headers);
-  return Message;
-}
-
 void OriginCalls::begin(ExchangeId Caller, const HttpRequest &Request,
                         const RouteEntry &Route) {
   const TimePoint Now = Task::now();
   const Policy &Rules = *Route.Effective;
-  const CallHeaderNames &Names = this->Dialect.names();
   const size_t Share = this->Shares.next(Route);
   const ServiceEntry &Service =
       this->Current->Services[Route.Shares[Share].Service];
-  const int64_t Longest = toMilliseconds(Rules.Deadline);
-  const int64_t Asked = numberHeader(Request, Names.Remaining, Longest);
-  const std::string_view Key =
-      Rules.Idempotent || Names.IdempotencyKey.empty()
-          ? std::string_view()
-          : headerValue(Request.Headers, Names.IdempotencyKey);
+  const std::string_view Key = Rules.Idempotent
+                                   ? std::string_view()
+                                   : this->Messages.idempotencyKey(Request);
 
   const CallId Id = ++this->LastCall;
   Call &New = this->Calls[Id];
   New.Caller = Caller;
   New.Began = Now;
-  New.Deadline = Now + milliseconds(std::clamp<int64_t>(Asked, 0, Longest));
+  New.Deadline = Now + this->Messages.remaining(Request, Rules.Deadline);
   New.Aim = std::min(New.Deadline, Now + aimOf(Rules));
-  New.Message = this->toMessage(Request, Route, Service);
+  New.Message =
+      this->Messages.message(Request, Route, Service.Name, this->Service);
   New.Decisions = std::make_unique<Exchange>(
       ExchangeOptions{.Map = this->Current,
                       .Service = &Service,
@@ -257,7 +174,9 @@
                       .Deadline = New.Deadline,
                       .Bytes = Request.Body.size(),
                       .IdempotencyKey = std::string(Key)},
-      this->Routes, this->budgetOf(Service, Now));
+      this->Routes,
+      this->Budgets.of(Service.Name, Service.Effective, this->Current->VmCount,
+                       Now));
   this->ByCaller[Caller] = Id;
   this->carryOut(Id, New.Decisions->start(Now));
 }
@@ -351,9 +270,9 @@
   if (Action.Late && !NotRun)
     Status = StatusLate;
   this->logEnd(Target, Name, Status, Action.Reason);
-  HttpResponse Response = this->ownAnswer(Status, Name, Action.Reason);
+  HttpResponse Response = this->Messages.ownAnswer(Status, Name, Action.Reason);
   if (NotRun)
-    this->setRetryAfter(Response, Action.RetryAfter);
+    this->ReturnTimes.addTo(Response, Action.RetryAfter);
   this->answer(Target.Caller, std::move(Response), Name);
 }
 
@@ -364,7 +283,7 @@
   // Fields only refer to their texts.
   const std::string Version = this->Current->Version.text();
   const std::initializer_list<LogField> Fields = {
-      {"request", this->requestId(Of.Message.Call)},
+      {"request", this->Messages.requestId(Of.Message.Call)},
       {"service", Of.Message.Service.str()},
       {"route", Of.Message.Route.str()},
       {"upstream", Of.Upstream.Name.str()},
@@ -474,7 +393,7 @@
   this->NextMetrics = Now + MetricsPeriod;
   this->Counters.set(Metric::Ejected, "",
                      static_cast<double>(this->Routes.ejectedCount(Now)));
-  for (const auto &[Service, Budget] : this->Budgets)
+  for (const auto &[Service, Budget] : this->Budgets.all())
     this->Counters.set(Metric::RetryBudget, Service.str(), Budget.balance());
 }
 
--- a/src/plugins/http/origincalls.h
+++ b/src/plugins/http/origincalls.h
@@ -1,18 +1,19 @@
 #ifndef BLUEBELLBARROW_HTTP_ORIGINCALLS_H
 #define BLUEBELLBARROW_HTTP_ORIGINCALLS_H
 
-#include "calldialect.h"
+#include "callermessages.h"
 #include "kernel/httpserver.h"
 #include "kernel/nodesettings.h"
 #include "kernel/task.h"
 #include "plugins/peer/peerclient.h"
 #include "plugins/routing/exchange.h"
+#include "plugins/routing/retrybudgets.h"
 #include "plugins/routing/shareplan.h"
+#include "retryafter.h"
 #include "tree/snapshot.h"
 
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 
 namespace bluebellbarrow {
@@ -94,8 +95,6 @@
   void onAborted(ExchangeId Caller);
   void begin(ExchangeId Caller, const HttpRequest &Request,
              const RouteEntry &Route);
-  RequestMessage toMessage(const HttpRequest &Request, const RouteEntry &Route,
-                           const ServiceEntry &Service) const;
   void carryOut(CallId Id, const ExchangeActions &Actions);
   void act(CallId Id, const StartAttempt &Action);
   void act(CallId Id, const CancelAttempt &Action);
@@ -108,27 +107,22 @@
   void forgetAttempt(Call &Of, int Index);
   void refuse(ExchangeId Caller, const HttpRequest &Request, int Status,
               const std::string &Reason);
-  HttpResponse ownAnswer(int Status, const char *Outcome,
-                         const std::string &Reason) const;
-  void setRetryAfter(HttpResponse &Response, Duration Time);
   void answer(ExchangeId Caller, HttpResponse Response, const char *Outcome);
-  std::string_view requestId(const HttpRequest &Request) const;
   void logEnd(const Call &Of, const char *Outcome, int Status,
               const std::string &Reason) const;
   void publishMetrics(TimePoint Now);
-  RetryBudget &budgetOf(const ServiceEntry &Service, TimePoint Now);
 
   Task &Owner;
   ServiceName Service;
-  const CallDialect &Dialect;
+  CallerMessages Messages;
   PeerIdentity Self;
   UpstreamCalls &Local;
   Metrics &Counters;
   std::shared_ptr<const Snapshot> Current;
   Router Routes;
   SharePlan Shares;
-  std::mt19937_64 Random;
-  std::map<ServiceName, RetryBudget> Budgets;
+  RetryAfter ReturnTimes;
+  RetryBudgets Budgets;
   HttpServer Callers;
   PeerClient Peers;
   std::map<CallId, Call> Calls;
--- a/src/plugins/http/upstreamcalls.cpp
+++ b/src/plugins/http/upstreamcalls.cpp
@@ -19,21 +19,10 @@
 /** Bodies up to this size are taken however many bytes are held. */
 constexpr size_t SmallBodyBytes = size_t{64} * 1024;
 
-constexpr int StatusMisdirected = 421;
-
 uint64_t fingerprint(const HttpRequest &Call) {
   return stableHash(Call.Method + "\n" + Call.Target + "\n" + Call.Body);
 }
 
-bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
-
-/** Sets a header, or removes it where the dialect has no name for it. */
-void setProperty(HttpHeaders &Headers, const std::string &Name,
-                 const std::string &Value) {
-  if (!Name.empty() && !Value.empty())
-    setHeader(Headers, Name, Value);
-}
-
 /** Returns the VM of this node that started its target last, or null. */
 const Vm *findOwn(const ServiceEntry &Service, const VmName &Self) {
   const Vm *Last = nullptr;
@@ -62,8 +51,8 @@
                              const CallDialect &Dialect, Metrics &Counters,
                              std::function<void()> OnFirst)
     : Owner(Owner), Self(Settings.Name), Service(Settings.Service),
-      Place(Settings.Target), Dialect(Dialect), Counters(Counters),
-      OnFirst(std::move(OnFirst)), Gate(AdmissionLimits()),
+      Place(Settings.Target), Dialect(Dialect), Messages(Dialect),
+      Counters(Counters), OnFirst(std::move(OnFirst)), Gate(AdmissionLimits()),
       Keys(KeyMemoryOptions()) {}
 
 void UpstreamCalls::setSettings(const NodeSettings &New) {
@@ -243,24 +232,6 @@
   return SenderKnowsLater ? Message.Target : this->Listed;
 }
 
-HttpRequest UpstreamCalls::targetRequest(const Call &Of, TimePoint Now) const {
-  const CallHeaderNames &Names = this->Dialect.names();
-  HttpRequest Request = Of.Message.Call;
-  HttpHeaders &Headers = Request.Headers;
-  const int64_t Left = toMilliseconds(Of.Deadline - Now);
-  for (const std::string *Name : {&Names.CallerService, &Names.ExpectedTarget})
-    if (!Name->empty())
-      removeHeader(Headers, *Name);
-  setProperty(Headers, Names.Remaining,
-              std::to_string(std::max<int64_t>(1, Left)));
-  setProperty(Headers, Names.CallerService, Of.Message.Caller.str());
-  setProperty(Headers, Names.ExpectedTarget,
-              this->expectedTarget(Of.Message).str());
-  setProperty(Headers, Names.Depth, std::to_string(Of.Message.Depth));
-  setProperty(Headers, Names.Route, Of.Message.Route.str());
-  return Request;
-}
-
 void UpstreamCalls::start(const RequestKey &Key) {
   const TimePoint Now = Task::now();
   Call &Started = this->Calls.at(Key);
@@ -272,63 +243,19 @@
   this->Counters.observe(Metric::WaitTime, "", Now - Started.Arrived);
   Started.Running = true;
   Started.Started = Now;
-  Started.Slot = this->Target->call(this->targetRequest(Started, Now),
-                                    Started.Deadline - Now,
-                                    [this, Key](const CallResult &Result) {
-                                      this->onTargetDone(Key, Result);
-                                    });
-}
-
-bool UpstreamCalls::saysNotRun(const HttpResponse &Response) const {
-  const CallHeaderNames &Names = this->Dialect.names();
-  if (!Names.ExpectedTarget.empty() && Response.Status == StatusMisdirected)
-    return true;
-  if (!hasHeader(Response.Headers, Names.NotRun))
-    return false;
-  return Names.NotRunValue.empty() ||
-         headerValue(Response.Headers, Names.NotRun) == Names.NotRunValue;
-}
-
-bool UpstreamCalls::isSigned(const HttpResponse &Response) const {
-  const std::string &Signature = this->Dialect.names().Signature;
-  return Signature.empty() || !isSuccess(Response.Status) ||
-         hasHeader(Response.Headers, Signature);
-}
-
-ReplyMessage UpstreamCalls::toReply(const RequestKey &Key,
-                                    const CallResult &Result) {
-  const CallHeaderNames &Names = this->Dialect.names();
-  ReplyMessage Message{.Number = Key.Number, .ReachedTarget = true};
-  if (Result.End == CallEnd::NotSent) {
-    Message.Result = Outcome::NotRun;
-    Message.Reason = "target can't be reached";
-    Message.ReachedTarget = false;
-  } else if (Result.End != CallEnd::Answered) {
-    Message.Result = Outcome::Unknown;
-    Message.Reason = "target: " + Result.Cause;
-  } else if (this->saysNotRun(Result.Response)) {
-    Message.Result = Outcome::NotRun;
-    Message.Reason = "target refused";
-    Message.NoRetry =
-        !Names.NoRetry.empty() &&
-        !headerValue(Result.Response.Headers, Names.NoRetry).empty();
-  } else if (!this->isSigned(Result.Response)) {
-    Message.Result = Outcome::Unknown;
-    Message.Reason = "target: answer without its mark";
-  } else {
-    Message.Result = Outcome::Answered;
-    Message.Answer = Result.Response;
-    removeConnectionHeaders(Message.Answer.Headers);
-    if (!Names.Load.empty())
-      removeHeader(Message.Answer.Headers, Names.Load);
-  }
-  return Message;
+  const Duration Left = Started.Deadline - Now;
+  Started.Slot = this->Target->call(
+      this->Messages.request(Started.Message,
+                             this->expectedTarget(Started.Message), Left),
+      Left, [this, Key](const CallResult &Result) {
+        this->onTargetDone(Key, Result);
+      });
 }
 
 void UpstreamCalls::onTargetDone(const RequestKey &Key,
                                  const CallResult &Result) {
   const TimePoint Now = Task::now();
-  ReplyMessage Message = this->toReply(Key, Result);
+  ReplyMessage Message = this->Messages.reply(Key.Number, Result);
   if (Message.Result == Outcome::NotRun) {
     this->Gate.onNotRun(Key, Now);
     this->Counters.add(Metric::Refused, Message.Reason);
--- a/src/plugins/http/upstreamcalls.h
+++ b/src/plugins/http/upstreamcalls.h
@@ -7,6 +7,7 @@
 #include "plugins/admission/admission.h"
 #include "plugins/admission/keymemory.h"
 #include "plugins/peer/peermessages.h"
+#include "targetmessages.h"
 #include "tree/snapshot.h"
 
 #include <functional>
@@ -98,16 +99,12 @@
   void connectTarget(size_t Slots);
   void start(const RequestKey &Key);
   void onTargetDone(const RequestKey &Key, const CallResult &Result);
-  ReplyMessage toReply(const RequestKey &Key, const CallResult &Result);
-  bool saysNotRun(const HttpResponse &Response) const;
-  bool isSigned(const HttpResponse &Response) const;
   void end(const RequestKey &Key, ReplyMessage Message);
 
   /** Removes a call. \pre \a Key is open. */
   Call take(const RequestKey &Key);
   void refuse(const RequestKey &Key, const std::string &Reason,
               Duration RetryAfter = Duration::zero());
-  HttpRequest targetRequest(const Call &Of, TimePoint Now) const;
   const TargetId &expectedTarget(const RequestMessage &Message) const;
   void runQueue(TimePoint Now);
   void logEnd(const RequestKey &Key, const Call &Of,
@@ -118,6 +115,7 @@
   ServiceName Service;
   Endpoint Place;
   const CallDialect &Dialect;
+  TargetMessages Messages;
   Metrics &Counters;
   std::function<void()> OnFirst;
   Admission Gate;
--- /dev/null
+++ b/src/plugins/routing/retrybudgets.h
@@ -0,0 +1,35 @@
+#ifndef BLUEBELLBARROW_ROUTING_RETRYBUDGETS_H
+#define BLUEBELLBARROW_ROUTING_RETRYBUDGETS_H
+
+#include "kernel/ids.h"
+#include "retrybudget.h"
+
+#include <map>
+
+namespace bluebellbarrow {
+
+/**
+ * One node's retry budget for each service that it has called.
+ *
+ * Thread safety: none; owned by one task.
+ */
+class RetryBudgets {
+public:
+  /**
+   * Returns the budget of \a Service with the share that \a Rules give one of
+   * \a Nodes; it is made with the first call. The reference stays valid.
+   */
+  RetryBudget &of(const ServiceName &Service, const Policy &Rules, size_t Nodes,
+                  TimePoint Now);
+
+  const std::map<ServiceName, RetryBudget> &all() const {
+    return this->Budgets;
+  }
+
+private:
+  std::map<ServiceName, RetryBudget> Budgets;
+};
+
+} // namespace bluebellbarrow
+
+#endif // BLUEBELLBARROW_ROUTING_RETRYBUDGETS_H
