A control stream that is given up leaves a line

Cause: reading the change again: ControlLinks::renew dropped a stream without a word, while a dropped stream for requests says "peer is silent".

Ruled out: a line for each answer that is missing; the push tree's own lines say who has what.

--- a/src/plugins/spread/controllinks.cpp
+++ b/src/plugins/spread/controllinks.cpp
@@ -1,6 +1,7 @@
 #include "controllinks.h"
 
 #include "controlcodec.h"
+#include "kernel/log.h"
 #include "kernel/task.h"
 
 namespace bluebellbarrow {
@@ -145,8 +146,12 @@
   if (Current == this->ByPeer.end())
     return;
   const StreamId Stream = Current->second;
-  if (this->Streams.progress(Stream) != this->Links[Stream].ProgressAtSend)
+  const Link &Silent = this->Links[Stream];
+  if (this->Streams.progress(Stream) != Silent.ProgressAtSend)
     return;
+  logEvent(LogLevel::Warning, "control stream given up",
+           {{"peer", To.str()},
+            {"silent_ms", toMilliseconds(Task::now() - Silent.LastUse)}});
   this->ByPeer.erase(Current);
   this->Links.erase(Stream);
   this->Streams.abort(Stream);
