TcpConnection: bounded writes, so that Drained follows every long send()

Cause: Drained was only called by flush(). Where the reader is fast and the sender is preempted, the kernel takes a message of any size in one write: a trace of a failing run shows one line, 'send of'. Nothing was queued, so nothing called Drained, and who waits for it to send on waits for ever. The failing check, drainedBytes() > 0, could not hold either.

Change: one call writes 128 KiB at most and queues the rest, so a long message always passes through the queue; it no longer keeps the loop from other connections. The contract of Drained says which send() it follows.

Ruled out: a lost writeable event and a lost last piece (a trace of each write; no failing run had a flush at all); a Drained posted after each complete write (a task round for each frame between nodes, which all fit in one write).

--- a/src/kernel/tcpconnection.cpp
+++ b/src/kernel/tcpconnection.cpp
@@ -4,6 +4,7 @@
 #include "socketaddress.h"
 #include "task.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <list>
@@ -22,6 +23,12 @@
 /** Reads from one connection before other connections are served. */
 constexpr int MaxReadsPerEvent = 4;
 
+/**
+ * Bytes written at most by one call of send(), so that a long message does not
+ * keep other connections waiting.
+ */
+constexpr size_t MaxWriteBytes = size_t{128} * 1024;
+
 /** Time after which unacknowledged bytes end the connection. */
 constexpr int UserTimeoutMs = 3000;
 
@@ -56,6 +63,12 @@
 
 bool wouldBlock(int Code) { return Code == EAGAIN || Code == EWOULDBLOCK; }
 
+/** Writes the first bytes of \a Bytes; returns their number, or -1. */
+ssize_t writeSome(int Socket, std::string_view Bytes) {
+  return ::send(Socket, Bytes.data(), std::min(Bytes.size(), MaxWriteBytes),
+                MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
 /** A connection in closeGracefully(). */
 struct ClosingConnection {
   std::unique_ptr<TcpConnection> Connection;
@@ -177,8 +190,7 @@
     this->SendQueue.append(Bytes);
     return;
   }
-  const ssize_t Length = ::send(this->Socket->fd(), Bytes.data(), Bytes.size(),
-                                MSG_NOSIGNAL | MSG_DONTWAIT);
+  const ssize_t Length = writeSome(this->Socket->fd(), Bytes);
   const size_t Sent = Length > 0 ? static_cast<size_t>(Length) : 0;
   this->SentBytes += Sent;
   if (Sent == Bytes.size())
@@ -189,9 +201,9 @@
 }
 
 void TcpConnection::flush() {
+  const std::string_view Queued(this->SendQueue);
   const ssize_t Length =
-      ::send(this->Socket->fd(), this->SendQueue.data() + this->QueueOffset,
-             this->queuedBytes(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      writeSome(this->Socket->fd(), Queued.substr(this->QueueOffset));
   if (Length < 0 && !wouldBlock(errno)) {
     this->handleClose(TcpCloseReason::ConnectionLost);
     return;
--- a/src/kernel/tcpconnection.h
+++ b/src/kernel/tcpconnection.h
@@ -41,7 +41,10 @@
    */
   std::function<void(TcpCloseReason)> Closed;
 
-  /** All queued bytes were written to the socket. */
+  /**
+   * All queued bytes were written to the socket. Follows each send() after
+   * which queuedBytes() is not 0; never called within send().
+   */
   std::function<void()> Drained;
 };
 
@@ -80,8 +83,8 @@
   TcpConnection &operator=(const TcpConnection &) = delete;
 
   /**
-   * Sends what the socket accepts now and queues the rest. Has no effect after
-   * the connection ended.
+   * Sends what the socket accepts now, up to a fixed limit, and queues the
+   * rest. Has no effect after the connection ended.
    */
   void send(std::string_view Bytes);
 
@@ -95,8 +98,8 @@
 
   /**
    * Returns the number of bytes written to the socket from the send queue.
-   * Bytes are queued only while connecting or while the socket's send buffer is
-   * full; a growing number therefore shows that the peer still receives.
+   * Bytes are queued while connecting, while the socket's send buffer is full,
+   * and when they exceed the limit of one send().
    */
   uint64_t drainedBytes() const { return this->DrainedBytes; }
 
--- a/tests/kernel/tcpconnection_test.cpp
+++ b/tests/kernel/tcpconnection_test.cpp
@@ -20,6 +20,11 @@
 /** Small, so that the sender often has to wait until it can write. */
 constexpr int ReceiveBufferBytes = 64 * 1024;
 
+/** Large enough for the socket to accept MessageBytes in one write. */
+constexpr int SendBufferBytes = 208 * 1024;
+
+constexpr size_t MessageBytes = size_t{192} * 1024;
+
 /** A socket that listens on a free port of Loopback. */
 struct Listener {
   Listener() : Fd(socket(AF_INET, SOCK_STREAM, 0)) {
@@ -53,8 +58,53 @@
   return Total;
 }
 
+/** Opens a blocking connection to \a Server; returns the socket. */
+int connectTo(const Listener &Server) {
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Remote{};
+  Remote.sin_family = AF_INET;
+  Remote.sin_port = htons(static_cast<uint16_t>(Server.Port));
+  inet_pton(AF_INET, Loopback.c_str(), &Remote.sin_addr);
+  (void)connect(Socket, reinterpret_cast<sockaddr *>(&Remote), sizeof(Remote));
+  return Socket;
+}
+
 } // namespace
 
+Test(tcpconnection, reports_drained_for_a_message_that_the_socket_can_buffer) {
+  const Listener Server;
+  const int Client = connectTo(Server);
+  const int Accepted = accept(Server.Fd, nullptr, nullptr);
+  setsockopt(Accepted, SOL_SOCKET, SO_SNDBUF, &SendBufferBytes,
+             sizeof(SendBufferBytes));
+  std::thread Reader([Client] {
+    std::string Buffer(MessageBytes, '\0');
+    (void)recv(Client, Buffer.data(), Buffer.size(), MSG_WAITALL);
+  });
+
+  Task Owner({.Name = "test", .MaxSockets = 64});
+  int DrainedCalls = 0;
+  TcpConnection Sender(Owner, Accepted,
+                       {.Connected = nullptr,
+                        .Received = [](std::string_view) {},
+                        .Closed = nullptr,
+                        .Drained =
+                            [&] {
+                              DrainedCalls += 1;
+                              Owner.stop();
+                            }});
+  Sender.send(std::string(MessageBytes, 'x'));
+  cr_assert_eq(DrainedCalls, 0, "called within send()");
+  Timer TimeoutTimer(Owner, [&] { Owner.stop(); });
+  TimeoutTimer.start(seconds(5));
+  Owner.run();
+  Reader.join();
+  close(Client);
+
+  cr_assert_eq(DrainedCalls, 1);
+  cr_assert_eq(Sender.sentBytes(), MessageBytes);
+}
+
 Test(tcpconnection, sends_all_of_a_long_message_to_a_slow_reader) {
   constexpr size_t Size = size_t{32} * 1024 * 1024;
   const Listener Server;
