HttpServer: idempotent requests of a connection run together

Idempotent requests start behind open ones, up to [limits] max-pipelined; one that may run only once waits until all responses before it are sent; nothing starts behind a response that closes, or when the node stops. A fault of the bytes behind is answered in its turn. Held responses and open bodies count against max-held; above it, reading stops while responses are open.

Ruled out: starting requests that may run once early and withdrawing them on a close (a withdrawal can come too late); one arrival time for a whole connection (it goes stale where the buffer is never empty).

--- a/src/kernel/httpserver.cpp
+++ b/src/kernel/httpserver.cpp
@@ -3,8 +3,9 @@
 #include "task.h"
 #include "tcplistener.h"
 
+#include <algorithm>
+#include <optional>
 #include <unistd.h>
-#include <vector>
 
 namespace bluebellbarrow {
 
@@ -13,8 +14,8 @@
 /** Time between two checks of the clients' timeouts. */
 constexpr Duration TimeoutCheckPeriod = milliseconds(250);
 
-/** Bytes that a client may pipeline while its request is being answered. */
-constexpr size_t MaxPipelinedBytes = size_t{64} * 1024;
+/** Bytes that a client may send ahead of the request that can start next. */
+constexpr size_t MaxWaitingBytes = size_t{64} * 1024;
 
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -27,26 +28,23 @@
 } // namespace
 
 struct HttpServer::ClientConnection {
-  ClientConnection(const HttpLimits &Limits)
-      : Parser(HttpParser::Kind::Request, Limits) {}
+  explicit ClientConnection(const HttpServerLimits &Limits,
+                            RequestPipeline::IdempotencyCheck IsIdempotent)
+      : Pipeline(Limits.MessageLimits, Limits.MaxPipelinedRequests,
+                 std::move(IsIdempotent)) {}
 
   std::unique_ptr<TcpConnection> Connection;
-  HttpParser Parser;
-
-  /** The request that is being answered; 0 for none. */
-  ExchangeId CurrentExchange;
-
-  /** When the first byte of the current request was received. */
-  TimePoint RequestStart;
+  RequestPipeline Pipeline;
 
   /** When bytes were last received or the last response was sent. */
   TimePoint LastActivityTime;
 
+  TimePoint LastResponseTime;
+
   /** Bytes counted in HttpServer::BufferedBytes. */
   size_t BufferedBytes = 0;
 
-  /** onHeaderComplete() was called for the current request. */
-  bool HeaderHandled = false;
+  bool ReadEnabled = true;
 };
 
 HttpServer::HttpServer(Task &Owner, HttpServerOptions NewOptions,
@@ -64,7 +62,14 @@
 void HttpServer::setLimits(const HttpServerLimits &NewLimits) {
   this->Options.Limits = NewLimits;
   for (const auto &[Id, Client] : this->Connections)
-    Client->Parser.setLimits(NewLimits.MessageLimits);
+    Client->Pipeline.setLimits(NewLimits.MessageLimits,
+                               NewLimits.MaxPipelinedRequests);
+}
+
+void HttpServer::setCloseAfterResponse(bool Enabled) {
+  this->CloseAfterResponse = Enabled;
+  for (const auto &[Id, Client] : this->Connections)
+    Client->Pipeline.setClosing(Enabled);
 }
 
 void HttpServer::accept(int Socket) {
@@ -78,8 +83,9 @@
   if (this->Connections.empty())
     this->TimeoutTimer.start(TimeoutCheckPeriod);
   const ConnectionId Id = ++this->LastConnectionId;
-  auto Client =
-      std::make_unique<ClientConnection>(this->Options.Limits.MessageLimits);
+  auto Client = std::make_unique<ClientConnection>(this->Options.Limits,
+                                                   this->Events.IsIdempotent);
+  Client->Pipeline.setClosing(this->CloseAfterResponse);
   Client->LastActivityTime = Task::now();
   Client->Connection = std::make_unique<TcpConnection>(
       this->Owner, Socket,
@@ -97,23 +103,19 @@
   const TimePoint Now = Task::now();
   this->LastReceiveTime = Now;
   Client.LastActivityTime = Now;
-  if (!Client.Parser.hasStarted())
-    Client.RequestStart = Now;
-  Client.Parser.feed(Bytes);
+  Client.Pipeline.feed(Bytes, Now);
   this->updateBufferedBytes(Client);
-  if (Client.CurrentExchange.value() == 0 && this->exceedsBufferLimit(Client)) {
-    this->refuse(Id, StatusServiceUnavailable, "the node holds too many bytes");
+  if (!Client.Pipeline.hasOpenRequests() && this->exceedsBufferLimit(Client)) {
+    this->refuse(Id, {.Status = StatusServiceUnavailable,
+                      .Reason = "the node holds too many bytes"});
     return;
   }
-  if (Client.CurrentExchange.value() == 0)
-    this->processReceived(Id);
-  else if (Client.Parser.surplusBytes() > MaxPipelinedBytes)
-    Client.Connection->setReadEnabled(false);
+  this->processReceived(Id);
 }
 
 void HttpServer::updateBufferedBytes(ClientConnection &Client) {
   this->BufferedBytes -= Client.BufferedBytes;
-  Client.BufferedBytes = Client.Parser.bufferedBytes();
+  Client.BufferedBytes = Client.Pipeline.bufferedBytes();
   this->BufferedBytes += Client.BufferedBytes;
 }
 
@@ -128,45 +130,57 @@
   this->Connections.erase(Found);
 }
 
-void HttpServer::onHeaderComplete(ClientConnection &Client) {
-  Client.HeaderHandled = true;
-  const std::string_view Expected =
-      headerValue(Client.Parser.request().Headers, "expect");
-  if (!Client.Parser.isComplete() && sameHeaderName(Expected, "100-continue"))
-    Client.Connection->send(ContinueResponse);
+void HttpServer::processReceived(ConnectionId Id) {
+  while (this->startNextRequest(Id)) {
+  }
+  const auto Found = this->Connections.find(Id);
+  if (Found != this->Connections.end())
+    this->updateReading(*Found->second);
 }
 
-void HttpServer::processReceived(ConnectionId Id) {
-  ClientConnection &Client = *this->Connections.at(Id);
-  const HttpParseError ParseError = Client.Parser.error();
-  if (ParseError != HttpParseError::None) {
-    this->refuse(Id, parseErrorStatus(ParseError), parseErrorText(ParseError));
-    return;
+bool HttpServer::startNextRequest(ConnectionId Id) {
+  const auto Found = this->Connections.find(Id);
+  if (Found == this->Connections.end())
+    return false;
+  ClientConnection &Client = *Found->second;
+  if (const std::optional<RequestFault> Fault = Client.Pipeline.fault()) {
+    this->refuse(Id, *Fault);
+    return false;
   }
-  if (Client.Parser.isHeaderComplete() && !Client.HeaderHandled)
-    this->onHeaderComplete(Client);
-  if (!Client.Parser.isComplete())
-    return;
-  const HttpRequest &Request = Client.Parser.request();
-  if (Request.RequestTarget.empty() || Request.RequestTarget.front() != '/') {
-    this->refuse(Id, parseErrorStatus(HttpParseError::BadSyntax),
-                 "the request target is not a path");
+  if (Client.Pipeline.takeContinue())
+    Client.Connection->send(ContinueResponse);
+  const ExchangeId Exchange(this->LastExchangeId + 1);
+  const std::optional<StartedRequest> Started =
+      Client.Pipeline.startNext(Exchange);
+  if (!Started)
+    return false;
+  this->LastExchangeId += 1;
+  this->Exchanges.emplace(Exchange, Id);
+  this->updateBufferedBytes(Client);
+  // The handler may respond, which may end the connection.
+  this->Events.RequestReceived(Exchange, Started->Request, Started->ReceivedAt);
+  return true;
+}
+
+void HttpServer::updateReading(ClientConnection &Client) const {
+  const bool MustWait = Client.Pipeline.hasOpenRequests() &&
+                        Client.Pipeline.hasPartialRequest() &&
+                        (Client.Pipeline.waitingBytes() > MaxWaitingBytes ||
+                         this->exceedsBufferLimit(Client));
+  if (Client.ReadEnabled != MustWait)
     return;
-  }
-  Client.CurrentExchange = ExchangeId(++this->LastExchangeId);
-  this->Exchanges.emplace(Client.CurrentExchange, Id);
-  this->Events.RequestReceived(Client.CurrentExchange, Request,
-                               Client.Connection->remote());
+  Client.ReadEnabled = !MustWait;
+  Client.Connection->setReadEnabled(Client.ReadEnabled);
 }
 
-void HttpServer::refuse(ConnectionId Id, int Status,
-                        const std::string &Reason) {
+void HttpServer::refuse(ConnectionId Id, const RequestFault &Fault) {
   ClientConnection &Client = *this->Connections.at(Id);
   this->Events.Malformed(makeError(Errc::BadSyntax, "read request",
-                                   Client.Connection->remote().str(), Reason));
-  const HttpResponse Response{.Status = Status,
+                                   Client.Connection->remote().str(),
+                                   Fault.Reason));
+  const HttpResponse Response{.Status = Fault.Status,
                               .Headers = {},
-                              .Body = Reason + "\n",
+                              .Body = Fault.Reason + "\n",
                               .CloseConnection = true};
   Client.Connection->send(encodeResponse(Response, false, false));
   this->closeGracefully(Id);
@@ -174,55 +188,60 @@
 
 void HttpServer::closeGracefully(ConnectionId Id) {
   const auto Found = this->Connections.find(Id);
+  const std::vector<ExchangeId> Unanswered =
+      Found->second->Pipeline.unanswered();
   std::unique_ptr<TcpConnection> Closing = std::move(Found->second->Connection);
   this->removeConnection(Id);
   TcpConnection::closeGracefully(this->Owner, std::move(Closing));
+  this->abortRequests(Unanswered);
+}
+
+void HttpServer::abortRequests(const std::vector<ExchangeId> &Aborted) {
+  for (const ExchangeId Exchange : Aborted)
+    if (this->Exchanges.erase(Exchange) > 0)
+      this->Events.Aborted(Exchange);
 }
 
 void HttpServer::respond(ExchangeId Exchange, HttpResponse Response) {
-  const auto FoundExchange = this->Exchanges.find(Exchange);
-  if (FoundExchange == this->Exchanges.end())
+  const auto Found = this->Exchanges.find(Exchange);
+  if (Found == this->Exchanges.end())
     return;
-  const ConnectionId Id = FoundExchange->second;
-  this->Exchanges.erase(FoundExchange);
+  const ConnectionId Id = Found->second;
+  this->Exchanges.erase(Found);
+  this->Connections.at(Id)->Pipeline.setResponse(Exchange, std::move(Response));
+  this->sendResponses(Id);
+}
+
+void HttpServer::sendResponses(ConnectionId Id) {
   ClientConnection &Client = *this->Connections.at(Id);
-  const bool IsHeadRequest = Client.Parser.request().Method == "HEAD";
-  Response.CloseConnection = Response.CloseConnection ||
-                             this->CloseAfterResponse ||
-                             !Client.Parser.shouldKeepAlive();
-  Client.Connection->send(
-      encodeResponse(Response, IsHeadRequest, Client.Parser.isHttp10()));
-  if (Response.CloseConnection) {
-    this->closeGracefully(Id);
-    return;
+  while (const auto Response = Client.Pipeline.takeResponse()) {
+    Client.Connection->send(Response->Bytes);
+    if (Response->Close) {
+      this->closeGracefully(Id);
+      return;
+    }
+    Client.LastResponseTime = Task::now();
+    Client.LastActivityTime = Client.LastResponseTime;
   }
-  Client.CurrentExchange = ExchangeId();
-  Client.HeaderHandled = false;
-  Client.LastActivityTime = Task::now();
-  Client.RequestStart = Client.LastActivityTime;
-  Client.Parser.next();
   this->updateBufferedBytes(Client);
-  Client.Connection->setReadEnabled(true);
-  if (Client.Parser.hasStarted())
-    this->Owner.post([this, Id] {
-      const auto Found = this->Connections.find(Id);
-      if (Found != this->Connections.end() &&
-          Found->second->CurrentExchange.value() == 0)
-        this->processReceived(Id);
-    });
+  this->updateReading(Client);
+  // Posted, since a request that is refused at once is answered while it
+  // starts.
+  if (Client.Pipeline.hasPartialRequest())
+    this->Owner.post([this, Id] { this->processReceived(Id); });
 }
 
 void HttpServer::onClosed(ConnectionId Id) {
   const auto Found = this->Connections.find(Id);
   if (Found == this->Connections.end())
     return;
-  const ExchangeId Current = Found->second->CurrentExchange;
-  // Destroyed only after the request was reported as aborted.
+  const std::vector<ExchangeId> Unanswered =
+      Found->second->Pipeline.unanswered();
+  // Destroyed only after the requests were reported as aborted.
   const std::unique_ptr<TcpConnection> Closed =
       std::move(Found->second->Connection);
   this->removeConnection(Id);
-  if (this->Exchanges.erase(Current) > 0)
-    this->Events.Aborted(Current);
+  this->abortRequests(Unanswered);
 }
 
 void HttpServer::checkTimeouts() {
@@ -240,17 +259,19 @@
 void HttpServer::checkTimeout(ConnectionId Id, TimePoint Now) {
   const auto Found = this->Connections.find(Id);
   if (Found == this->Connections.end() ||
-      Found->second->CurrentExchange.value() != 0)
+      Found->second->Pipeline.hasOpenRequests())
     return;
   const ClientConnection &Client = *Found->second;
   const HttpServerLimits &Limits = this->Options.Limits;
-  const bool Started = Client.Parser.hasStarted();
-  const bool HeaderTimedOut = Started && !Client.Parser.isHeaderComplete() &&
-                              Now - Client.RequestStart > Limits.HeaderTimeout;
+  const bool Started = Client.Pipeline.hasPartialRequest();
+  const TimePoint HeaderStart =
+      std::max(Client.Pipeline.requestStart(), Client.LastResponseTime);
+  const bool HeaderTimedOut = Started && !Client.Pipeline.isHeaderComplete() &&
+                              Now - HeaderStart > Limits.HeaderTimeout;
   const bool Idle = Now - Client.LastActivityTime > Limits.IdleTimeout;
   if (HeaderTimedOut || (Idle && Started))
-    this->refuse(Id, StatusRequestTimeout,
-                 "the request took too long to arrive");
+    this->refuse(Id, {.Status = StatusRequestTimeout,
+                      .Reason = "the request took too long to arrive"});
   else if (Idle)
     this->closeGracefully(Id);
 }
--- a/src/kernel/httpserver.h
+++ b/src/kernel/httpserver.h
@@ -3,8 +3,8 @@
 
 #include "clock.h"
 #include "error.h"
-#include "httpparser.h"
-#include "ids.h"
+#include "httpmessage.h"
+#include "requestpipeline.h"
 #include "tcpconnection.h"
 #include "timer.h"
 
@@ -12,22 +12,24 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace bluebellbarrow {
 
 class Task;
 class TcpListener;
 
-/** Number of one request and its response on an HttpServer; never reused. */
-using ExchangeId = StrongNumber<struct ExchangeIdTag>;
-
 /** Event handlers of an HttpServer; each is called on the server's task. */
 struct HttpServerEvents {
-  /** A complete request was received; respond() must be called once for it. */
-  std::function<void(ExchangeId, const HttpRequest &, const Endpoint &)>
+  /**
+   * A complete request starts, whose first byte was received at the given time;
+   * respond() must be called once for it.
+   */
+  std::function<void(ExchangeId, const HttpRequest &, TimePoint)>
       RequestReceived;
 
-  /** The client closed its connection before its response was written. */
+  /** The connection of a request ended before its response was known. */
   std::function<void(ExchangeId)> Aborted;
 
   /**
@@ -35,6 +37,13 @@
    * called.
    */
   std::function<void(const Error &)> Malformed;
+
+  /**
+   * Returns true for a request that may run more than once; such requests run
+   * while earlier ones of their connection are open. May be empty: requests of
+   * a connection then run one after the other.
+   */
+  RequestPipeline::IdempotencyCheck IsIdempotent = nullptr;
 };
 
 /** Size limits and timeouts of requests. */
@@ -48,10 +57,15 @@
   Duration IdleTimeout = seconds(75);
 
   /**
-   * Buffered bytes of requests over all connections. Above the limit, requests
-   * on connections that buffer more than 64 KiB are refused.
+   * Buffered bytes of requests and of responses that wait for earlier ones,
+   * over all connections. Above the limit, a connection that buffers more than
+   * 64 KiB is not read while it has open requests; otherwise, its request is
+   * refused.
    */
   size_t MaxBufferedBytes = size_t{32} * 1024 * 1024;
+
+  /** Requests of one connection that may be open at the same time. */
+  size_t MaxPipelinedRequests = 16;
 };
 
 /** Address and limits of an HttpServer. */
@@ -65,8 +79,9 @@
 };
 
 /**
- * HTTP/1.1 server that reports complete requests and sends complete responses.
- * A client that closes or half-closes its connection aborts its request.
+ * HTTP/1.1 server that reports complete requests and sends complete responses,
+ * on each connection in the order of its requests. A client that closes or
+ * half-closes its connection aborts its open requests.
  *
  * Thread safety: none; owned by one task.
  */
@@ -88,10 +103,8 @@
    */
   void setLimits(const HttpServerLimits &NewLimits);
 
-  /** Sets whether each connection is closed after its next response. */
-  void setCloseAfterResponse(bool Enabled) {
-    this->CloseAfterResponse = Enabled;
-  }
+  /** Sets whether each connection is closed after its last open request. */
+  void setCloseAfterResponse(bool Enabled);
 
   /** Responds to a request; does nothing when the client has disconnected. */
   void respond(ExchangeId Exchange, HttpResponse Response);
@@ -112,9 +125,12 @@
   void accept(int Socket);
   void receive(ConnectionId Id, std::string_view Bytes);
   void processReceived(ConnectionId Id);
-  void onHeaderComplete(ClientConnection &Client);
-  void refuse(ConnectionId Id, int Status, const std::string &Reason);
+  bool startNextRequest(ConnectionId Id);
+  void updateReading(ClientConnection &Client) const;
+  void sendResponses(ConnectionId Id);
+  void refuse(ConnectionId Id, const RequestFault &Fault);
   void onClosed(ConnectionId Id);
+  void abortRequests(const std::vector<ExchangeId> &Aborted);
   void checkTimeouts();
   void checkTimeout(ConnectionId Id, TimePoint Now);
   void updateBufferedBytes(ClientConnection &Client);
@@ -132,7 +148,7 @@
   uint64_t LastExchangeId = 0;
   ConnectionId LastConnectionId = 0;
 
-  /** Buffered bytes of requests over all connections. */
+  /** Sum of the connections' RequestPipeline::bufferedBytes(). */
   size_t BufferedBytes = 0;
 
   TimePoint LastReceiveTime;
--- a/src/plugins/http/outboundcalls.cpp
+++ b/src/plugins/http/outboundcalls.cpp
@@ -48,13 +48,19 @@
            .MaxConnections = MaxCallerConnections},
           {.RequestReceived =
                [this](ExchangeId Exchange, const HttpRequest &Request,
-                      const Endpoint &) { this->onRequest(Exchange, Request); },
+                      TimePoint ReceivedAt) {
+                 this->onRequest(Exchange, Request, ReceivedAt);
+               },
            .Aborted =
                [this](ExchangeId Exchange) { this->onAborted(Exchange); },
            .Malformed =
                [this](const Error &Failure) {
                  logError(LogLevel::Warning, Failure);
                  this->NodeMetrics.add(Metric::Malformed, "callers");
+               },
+           .IsIdempotent =
+               [this](const HttpRequest &Request) {
+                 return this->isIdempotent(Request);
                }}),
       Peers(
           Owner, Settings.BindIp, Settings.PeerPort, Self,
@@ -100,7 +106,9 @@
                              static_cast<size_t>(Limits.MaxBodyBytes)},
        .HeaderTimeout = Limits.HeaderTimeout,
        .IdleTimeout = Limits.IdleTimeout,
-       .MaxBufferedBytes = static_cast<size_t>(Limits.MaxBufferedBytes)});
+       .MaxBufferedBytes = static_cast<size_t>(Limits.MaxBufferedBytes),
+       .MaxPipelinedRequests =
+           static_cast<size_t>(Limits.MaxPipelinedRequests)});
 }
 
 void OutboundCalls::refuse(ExchangeId Exchange, const HttpRequest &Request,
@@ -127,7 +135,22 @@
   this->CallerServer.respond(Exchange, std::move(Response));
 }
 
-void OutboundCalls::onRequest(ExchangeId Exchange, const HttpRequest &Request) {
+const RouteEntry *OutboundCalls::findRoute(const HttpRequest &Request) const {
+  const RouteEntry *Route = this->CurrentSnapshot->Routes->find(
+      this->Codec.host(Request), Request.Method,
+      extractPath(Request.RequestTarget));
+  return Route == nullptr || Route->WeightedServices.empty() ? nullptr : Route;
+}
+
+bool OutboundCalls::isIdempotent(const HttpRequest &Request) const {
+  if (this->CurrentSnapshot == nullptr)
+    return false;
+  const RouteEntry *Route = this->findRoute(Request);
+  return Route != nullptr && Route->EffectivePolicy->Idempotent;
+}
+
+void OutboundCalls::onRequest(ExchangeId Exchange, const HttpRequest &Request,
+                              TimePoint ReceivedAt) {
   if (this->CurrentSnapshot == nullptr) {
     this->refuse(Exchange, Request, StatusNotRun, "no version is in force yet");
     return;
@@ -136,10 +159,8 @@
     this->refuse(Exchange, Request, StatusNotRun, "the node stops");
     return;
   }
-  const RouteEntry *Route = this->CurrentSnapshot->Routes->find(
-      this->Codec.host(Request), Request.Method,
-      extractPath(Request.RequestTarget));
-  if (Route == nullptr || Route->WeightedServices.empty()) {
+  const RouteEntry *Route = this->findRoute(Request);
+  if (Route == nullptr) {
     this->refuse(Exchange, Request, 404, "no route matches");
     return;
   }
@@ -152,13 +173,20 @@
     this->refuse(Exchange, Request, 413, "request body is too large");
     return;
   }
-  this->startCall(Exchange, Request, *Route);
+  this->startCall(Exchange, Request, *Route, ReceivedAt);
 }
 
 void OutboundCalls::startCall(ExchangeId Exchange, const HttpRequest &Request,
-                              const RouteEntry &Route) {
+                              const RouteEntry &Route, TimePoint ReceivedAt) {
   const TimePoint Now = Task::now();
   const Policy &RoutePolicy = *Route.EffectivePolicy;
+  const TimePoint Deadline =
+      ReceivedAt + this->Codec.remainingTime(Request, RoutePolicy.Deadline);
+  if (Now >= Deadline) {
+    this->refuse(Exchange, Request, StatusNotRun,
+                 "the deadline passed before the request could start");
+    return;
+  }
   const size_t Index = this->TrafficSplit.next(Route);
   const ServiceEntry &Service =
       this->CurrentSnapshot
@@ -170,10 +198,10 @@
   const CallId Id = ++this->LastCallId;
   Call &New = this->Calls[Id];
   New.HttpExchange = Exchange;
-  New.StartedAt = Now;
-  New.Deadline = Now + this->Codec.remainingTime(Request, RoutePolicy.Deadline);
-  New.SoftDeadline =
-      std::min(New.Deadline, Now + effectiveLatencyObjective(RoutePolicy));
+  New.StartedAt = ReceivedAt;
+  New.Deadline = Deadline;
+  New.SoftDeadline = std::min(
+      New.Deadline, ReceivedAt + effectiveLatencyObjective(RoutePolicy));
   New.Message =
       this->Codec.toRequestMessage(Request, Route, Service.Name, this->Service);
   New.StateMachine = std::make_unique<OutboundCall>(
--- a/src/plugins/http/outboundcalls.h
+++ b/src/plugins/http/outboundcalls.h
@@ -100,10 +100,13 @@
     Vm Upstream;
   };
 
-  void onRequest(ExchangeId Exchange, const HttpRequest &Request);
+  void onRequest(ExchangeId Exchange, const HttpRequest &Request,
+                 TimePoint ReceivedAt);
+  const RouteEntry *findRoute(const HttpRequest &Request) const;
+  bool isIdempotent(const HttpRequest &Request) const;
   void onAborted(ExchangeId Exchange);
   void startCall(ExchangeId Exchange, const HttpRequest &Request,
-                 const RouteEntry &Route);
+                 const RouteEntry &Route, TimePoint ReceivedAt);
   void executeActions(CallId Id, const OutboundCallActions &Actions);
   void executeAction(CallId Id, const StartAttempt &Action);
   void executeAction(CallId Id, const CancelAttempt &Action);
--- a/src/plugins/metrics/adminplugin.cpp
+++ b/src/plugins/metrics/adminplugin.cpp
@@ -59,7 +59,7 @@
         HttpServerEvents{
             .RequestReceived =
                 [this, Index](ExchangeId Id, const HttpRequest &Request,
-                              const Endpoint &) {
+                              TimePoint) {
                   this->Servers[Index]->respond(Id,
                                                 this->makeResponse(Request));
                 },
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -66,7 +66,7 @@
      &Policy::MaxConnections},
 }};
 
-const std::array<FieldSpec<CallerLimits>, 5> LimitTable = {{
+const std::array<FieldSpec<CallerLimits>, 6> LimitTable = {{
     {{"limits", "max-header", KeyType::Size, 256, Megabyte, "16 KB",
       "maximum size of a request header"},
      &CallerLimits::MaxHeaderBytes},
@@ -74,8 +74,11 @@
       "maximum size of a request body"},
      &CallerLimits::MaxBodyBytes},
     {{"limits", "max-held", KeyType::Size, 65536, 16384 * Megabyte, "32 MB",
-      "bytes of requests that a node buffers at once"},
+      "bytes of requests and waiting responses that a node buffers at once"},
      &CallerLimits::MaxBufferedBytes},
+    {{"limits", "max-pipelined", KeyType::Integer, 1, 1000, "16",
+      "requests of one connection that may be open at the same time"},
+     &CallerLimits::MaxPipelinedRequests},
     {{"limits", "header-time", KeyType::Duration, 10 * Millisecond, Minute,
       "10 s", "time in which the header of a request must arrive"},
      &CallerLimits::HeaderTimeout},
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -73,9 +73,12 @@
   int64_t MaxHeaderBytes = 0;
   int64_t MaxBodyBytes = 0;
 
-  /** Bytes of requests that a node buffers at once. */
+  /** Bytes of requests and waiting responses that a node buffers at once. */
   int64_t MaxBufferedBytes = 0;
 
+  /** Requests of one connection that may be open at the same time. */
+  int64_t MaxPipelinedRequests = 0;
+
   Duration HeaderTimeout{};
   Duration IdleTimeout{};
 };
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -115,7 +115,7 @@
                 .MaxConnections = MaxConnections},
                {.RequestReceived =
                     [this](ExchangeId Id, const HttpRequest &Request,
-                           const Endpoint &) { this->onRequest(Id, Request); },
+                           TimePoint) { this->onRequest(Id, Request); },
                 .Aborted =
                     [this](ExchangeId Id) {
                       this->Watches.remove_if([Id](const ValueRead &Watch) {
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -74,7 +74,7 @@
                 .MaxConnections = MaxConnections},
                {.RequestReceived =
                     [this](ExchangeId Id, const HttpRequest &Request,
-                           const Endpoint &) { this->onRequest(Id, Request); },
+                           TimePoint) { this->onRequest(Id, Request); },
                 .Aborted =
                     [this](ExchangeId Id) {
                       this->CancelledCount += this->Running.erase(Id);
