Disseminator: a reader whose other read has failed retries it at once

When the platform is back, the first node of the read order may read the VM list again while the configuration is still in its backoff. It then counts as a reader, so the acting reader stops, and nobody reads the configuration.

Ruled out: a push that got lost on the way to a restarted node (all nodes waited, not one), a root that stops (the trees were complete within 40 ms), a full listing after the return (the versions came by watches).

--- a/src/plugins/spread/disseminator.cpp
+++ b/src/plugins/spread/disseminator.cpp
@@ -133,6 +133,10 @@
 
 void Disseminator::onReadSucceeded(TimePoint Now) {
   this->HasReadPlatform = true;
+  // Others stop reading for a node that reads successfully, so a failed read of
+  // another kind must not stay in its backoff.
+  if (this->retryFailedReads(Now))
+    return;
   const std::optional<Duration> PreviousAge =
       this->Schedule.lastSuccessAge(Now);
   this->Schedule.onReadSucceeded(Now);
@@ -144,6 +148,18 @@
   this->notifyNextReaders(Now);
 }
 
+bool Disseminator::retryFailedReads(TimePoint Now) {
+  bool HasFailed = false;
+  for (ResourceState &Resource : this->Resources) {
+    WatchState &Read = Resource.Watch;
+    if (Read.Failures == 0)
+      continue;
+    HasFailed = true;
+    Read.NotBefore = std::min(Read.NotBefore, Now);
+  }
+  return HasFailed;
+}
+
 void Disseminator::onPlatformFailed(ResourceKind Kind, TimePoint Now) {
   WatchState &Read = this->resource(Kind).Watch;
   Read.InFlight = false;
--- a/src/plugins/spread/disseminator.h
+++ b/src/plugins/spread/disseminator.h
@@ -200,6 +200,13 @@
   void rebuildTopology();
   void expireRetainedVms(TimePoint Now);
   void onReadSucceeded(TimePoint Now);
+
+  /**
+   * Ends the backoff of failed reads, since the platform responds again.
+   * Returns false when no kind's last read has failed.
+   */
+  bool retryFailedReads(TimePoint Now);
+
   void notifyChildren(TimePoint Now);
 
   /** Sends the age of the last read to the nodes that would read next. */
--- a/tests/support/disseminationsimulation.cpp
+++ b/tests/support/disseminationsimulation.cpp
@@ -205,9 +205,14 @@
     this->EndsRefusedWatchesUnchanged = Verb == "refuse-quietly";
     for (const Node *Target : this->selectNodes(Words[1]))
       this->RefusedNodes.insert(Target->ListedVm.Name.str());
-  } else if (Verb == "serve") {
+  } else if (Verb == "refuse-config") {
     for (const Node *Target : this->selectNodes(Words[1]))
+      this->NodesRefusedConfig.insert(Target->ListedVm.Name.str());
+  } else if (Verb == "serve") {
+    for (const Node *Target : this->selectNodes(Words[1])) {
       this->RefusedNodes.erase(Target->ListedVm.Name.str());
+      this->NodesRefusedConfig.erase(Target->ListedVm.Name.str());
+    }
   } else if (Verb == "platform") {
     if (Words[1] == "stale" || Words[1] == "alternate")
       this->StaleReplica = this->CurrentReplica;
@@ -569,7 +574,9 @@
     this->postToNode(Read.Node, Read.Incarnation, PlatformDelay,
                      std::move(Work));
   };
-  const bool Refuses = this->RefusedNodes.contains(Read.Node);
+  const bool Refuses = this->RefusedNodes.contains(Read.Node) ||
+                       (Read.Kind == ResourceKind::Config &&
+                        this->NodesRefusedConfig.contains(Read.Node));
   if (this->SlowReaders.contains(Read.Node)) {
     this->postToNode(Read.Node, Read.Incarnation, SlowReadTimeout,
                      [this, Kind = Read.Kind](Node &Target) {
--- a/tests/support/disseminationsimulation.h
+++ b/tests/support/disseminationsimulation.h
@@ -142,6 +142,9 @@
   /** Nodes whose reads the platform refuses. */
   std::set<std::string> RefusedNodes;
 
+  /** Nodes whose reads of the configuration only the platform refuses. */
+  std::set<std::string> NodesRefusedConfig;
+
   /** Open watches of refused nodes end unchanged instead of failing. */
   bool EndsRefusedWatchesUnchanged = false;
 
