Fuzzer: pipelined requests; HttpParser: refuse a cut request line at once

Cause: the fuzzer now plays a connection with random splits and a random order of responses.

Change: a header that Beast does not complete from all of its bytes is bad syntax. Fuzz target 'pipeline': what starts must depend neither on splits nor on the order of responses, responses are in order, what may run once starts alone, nothing starts behind a response that closes.

Ruled out: a fault of RequestPipeline (HttpParser alone shows it, fed byte by byte).

--- a/src/kernel/httpparser.cpp
+++ b/src/kernel/httpparser.cpp
@@ -285,8 +285,13 @@
     this->ParseError = toParseError(Code);
     return;
   }
-  if (HeaderWasComplete || !this->CurrentReader->isHeaderComplete())
+  if (HeaderWasComplete)
     return;
+  // The buffer holds all of the header, although Beast may wait for more.
+  if (!this->CurrentReader->isHeaderComplete()) {
+    this->ParseError = HttpParseError::BadSyntax;
+    return;
+  }
   this->KeepAlive = this->CurrentReader->shouldKeepAlive();
   this->ParseError = this->checkHeader();
 }
--- a/tests/fuzz/fuzz.cpp
+++ b/tests/fuzz/fuzz.cpp
@@ -1,8 +1,8 @@
 /**
  * \file
  * Feeds random and mutated bytes to every parser of external input: the HTTP
- * parsers, frames and datagrams of other nodes, the platform's responses, and
- * settings.
+ * parsers, pipelined requests, frames and datagrams of other nodes, the
+ * platform's responses, and settings.
  *
  *     fuzz --seed N --inputs COUNT
  *
@@ -16,6 +16,7 @@
 #include "kernel/framereader.h"
 #include "kernel/httpparser.h"
 #include "kernel/nodesettings.h"
+#include "kernel/requestpipeline.h"
 #include "platform/configdocument.h"
 #include "platform/storeclient.h"
 #include "platform/targetentry.h"
@@ -108,14 +109,20 @@
   return Outcome;
 }
 
-/** Checks that the outcome does not depend on how the input is split. */
-void checkHttp(HttpParser::Kind Kind, const std::string &Input,
-               Engine &Random) {
+/** Returns random offsets at which an input is split, and its end. */
+std::vector<size_t> drawChunkEnds(const std::string &Input, Engine &Random) {
   std::vector<size_t> ChunkEnds;
   for (size_t Offset = 0; Offset < Input.size();) {
     Offset += 1 + draw(Random, 40);
     ChunkEnds.push_back(std::min(Offset, Input.size()));
   }
+  return ChunkEnds;
+}
+
+/** Checks that the outcome does not depend on how the input is split. */
+void checkHttp(HttpParser::Kind Kind, const std::string &Input,
+               Engine &Random) {
+  const std::vector<size_t> ChunkEnds = drawChunkEnds(Input, Random);
   const ParseOutcome Unsplit = parse(Kind, Input, {Input.size()});
   const ParseOutcome Split = parse(Kind, Input, ChunkEnds);
   require(Unsplit.Messages == Split.Messages,
@@ -133,6 +140,95 @@
   checkHttp(HttpParser::Kind::Response, Input, Random);
 }
 
+/** Plays one connection; responses become known in a random order. */
+class PipelinePlay {
+public:
+  PipelinePlay(const std::string &Input, Engine &Random)
+      : Input(Input), Random(Random),
+        Pipeline({.MaxHeaderBytes = 400, .MaxBodyBytes = 300},
+                 1 + draw(Random, 4), isIdempotent) {}
+
+  /** Returns the requests that started, and the fault, if any. */
+  std::vector<std::string> run(const std::vector<size_t> &ChunkEnds) {
+    size_t Begin = 0;
+    for (const size_t End : ChunkEnds) {
+      this->Pipeline.feed(
+          std::string_view(this->Input).substr(Begin, End - Begin),
+          TimePoint(milliseconds(End)));
+      Begin = End;
+      this->startAll();
+      if (draw(this->Random, 2) == 0)
+        this->respondOnce();
+    }
+    while (!this->Closed && this->Pipeline.hasOpenRequests())
+      this->respondOnce();
+    if (const auto Fault = this->Pipeline.fault(); Fault && !this->Closed)
+      this->Events.push_back(std::to_string(Fault->Status));
+    return this->Events;
+  }
+
+private:
+  static bool isIdempotent(const HttpRequest &Request) {
+    return Request.Method == "GET";
+  }
+
+  void startAll() {
+    while (!this->Closed) {
+      const bool WasOpen = this->Pipeline.hasOpenRequests();
+      const auto Started = this->Pipeline.startNext(ExchangeId(this->Next));
+      if (!Started)
+        return;
+      this->Next += 1;
+      require(!WasOpen || isIdempotent(Started->Request),
+              "a request that may run once started behind an open one",
+              this->Input);
+      this->Events.push_back(Started->Request.Method + " " +
+                             Started->Request.RequestTarget + "\n" +
+                             formatHeaders(Started->Request.Headers) +
+                             Started->Request.Body);
+    }
+  }
+
+  /** Responds to one open request and sends what can be sent. */
+  void respondOnce() {
+    const std::vector<ExchangeId> Open = this->Pipeline.unanswered();
+    if (this->Closed || Open.empty())
+      return;
+    const ExchangeId Exchange = Open[draw(this->Random, Open.size())];
+    this->Pipeline.setResponse(
+        Exchange, {.Status = 200,
+                   .Headers = {{"Id", std::to_string(Exchange.value())}},
+                   .Body = "body"});
+    while (const auto Response = this->Pipeline.takeResponse()) {
+      this->LastSent += 1;
+      require(Response->Bytes.find("Id: " + std::to_string(this->LastSent) +
+                                   "\r\n") != std::string::npos,
+              "a response is out of order", this->Input);
+      this->Closed = Response->Close;
+      require(!this->Closed || !this->Pipeline.hasOpenRequests(),
+              "a request started behind one that closes", this->Input);
+    }
+    this->startAll();
+  }
+
+  const std::string &Input;
+  Engine &Random;
+  RequestPipeline Pipeline;
+  std::vector<std::string> Events;
+  uint64_t Next = 1;
+  uint64_t LastSent = 0;
+  bool Closed = false;
+};
+
+/** Checks that neither splits nor the order of responses change what runs. */
+void checkPipeline(const std::string &Input, Engine &Random) {
+  const auto Unsplit = PipelinePlay(Input, Random).run({Input.size()});
+  const auto Split =
+      PipelinePlay(Input, Random).run(drawChunkEnds(Input, Random));
+  require(Unsplit == Split, "what starts depends on splits or responses",
+          Input);
+}
+
 /** Checks that encoding and decoding do not change a decoded message. */
 template <typename T>
 void checkPeerMessage(const Frame &Received, const std::string &Input) {
@@ -268,6 +364,17 @@
         "PUT /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
         "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
         "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"}},
+      {"pipeline",
+       checkPipeline,
+       {"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: "
+        "a\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+        "PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\n",
+        "HEAD /h HTTP/1.1\r\nHost: a\r\n\r\nDELETE /d HTTP/1.1\r\nHost: "
+        "a\r\n\r\nOPTIONS /o HTTP/1.1\r\nHost: a\r\n\r\n",
+        "GET /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+        "GET /0 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"}},
       {"response",
        checkResponse,
        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", Chunked,
--- a/tests/kernel/requestpipeline_test.cpp
+++ b/tests/kernel/requestpipeline_test.cpp
@@ -184,6 +184,13 @@
   cr_assert(startAll(Pipeline, Number).empty());
 }
 
+Test(requestpipeline, refuses_a_cut_request_line_without_waiting_for_more) {
+  RequestPipeline Pipeline = makePipeline();
+  Pipeline.feed("PUT /x H0\r\n\r\n", Start);
+  cr_assert(Pipeline.fault().has_value());
+  cr_assert_eq(Pipeline.fault()->Status, 400);
+}
+
 Test(requestpipeline, refuses_a_target_without_a_path_in_its_turn) {
   RequestPipeline Pipeline = makePipeline();
   uint64_t Number = 0;
