RetryBudget: a share of less than one retry is permitted at random

Change: a node whose share holds no whole retry permits one from a random balance on and owes the rest, so the fleet makes on average what all shares permit. Small fleets are as before.

Ruled out: a cap of one retry a node (67 nodes save 67 retries for a burst of 36.8); keeping all of the deposits (beyond the ratio when all nodes fail at once after a healthy time at 0.5 to 1.5 requests a second).

--- a/bench/loadsim/simnode.cpp
+++ b/bench/loadsim/simnode.cpp
@@ -45,7 +45,7 @@
                    OnFinished(CallResult.Succeeded);
                  }});
           }),
-      Seed(Seed) {
+      Budgets(Seed), Seed(Seed) {
   this->start();
   this->pollPeriodically();
 }
--- a/src/plugins/routing/retrybudgets.h
+++ b/src/plugins/routing/retrybudgets.h
@@ -15,6 +15,9 @@
  */
 class RetryBudgets {
 public:
+  /** The seeds of the nodes of a fleet should differ. */
+  explicit RetryBudgets(uint64_t Seed) : Seed(Seed) {}
+
   /**
    * Returns the budget of \a Service, creating it on first use, and sets its
    * options to one node's share of \a RoutePolicy in a fleet of \a Nodes.
@@ -28,6 +31,7 @@
   }
 
 private:
+  uint64_t Seed;
   std::map<ServiceName, RetryBudget> Budgets;
 };
 
--- a/tests/support/callsimulation.cpp
+++ b/tests/support/callsimulation.cpp
@@ -89,7 +89,7 @@
         RetryBudgetOptions{.RetriesPerRequest = this->Options.RetryBudget,
                            .MinRetriesPerSecond = 10,
                            .InitialBalance = 10},
-        this->Now));
+        this->Budgets.size(), this->Now));
   }
   this->UpstreamRouter->setSnapshot(this->ConfigSnapshot, this->Now);
 }
