HttpClient: responses without end are bounded and not retried

Chunk sizes, chunk extensions and trailers without end were buffered without any limit until the deadline (in requests too), and interim responses without end were read until then.

Change: incomplete responses of all calls to a target together stay within max-held; above it, the longest one fails. A header, chunk size or trailer that does not end within the header limit is refused (431 for requests). At most 16 interim or stale responses a call. A response over a limit is not requested from another target.

Ruled out: a limit of each response alone (slots times 64 MB); failing the call that receives when the sum is exceeded (it may be a short one).

--- a/src/kernel/httpclient.cpp
+++ b/src/kernel/httpclient.cpp
@@ -27,6 +27,9 @@
 /** First status of a final response; lower ones are interim responses. */
 constexpr int FirstFinalStatus = 200;
 
+/** Responses that a call may receive before its own, interim or stale ones. */
+constexpr int MaxEarlierResponses = 16;
+
 /** Returns how long an idle connection may be reused after \a Response. */
 Duration idleTimeout(const HttpResponse &Response, Duration Default) {
   constexpr std::string_view Parameter = "timeout=";
@@ -41,6 +44,11 @@
       static_cast<double>(Seconds) * IdleTimeoutFraction));
 }
 
+bool isLimitError(HttpParseError ParseError) {
+  return ParseError == HttpParseError::HeaderTooLarge ||
+         ParseError == HttpParseError::BodyTooLarge;
+}
+
 } // namespace
 
 /** One connection and the call that it carries; busy while it has a call. */
@@ -71,6 +79,12 @@
   /** Bytes sent on the connection before this call. */
   uint64_t SentBytesAtStart = 0;
 
+  /** Bytes of the response that are buffered so far. */
+  size_t BufferedBytes = 0;
+
+  /** Interim and stale responses received for this call. */
+  int EarlierResponses = 0;
+
   bool IsHeadRequest = false;
   bool ConnectionReused = false;
 
@@ -142,6 +156,7 @@
   CallSlot.IsHeadRequest = Request.Method == "HEAD";
   CallSlot.ConnectionReused = CallSlot.isReusable(Now);
   CallSlot.MustClose = false;
+  CallSlot.EarlierResponses = 0;
   CallSlot.TimeoutTimer.start(Timeout);
   if (CallSlot.ConnectionReused)
     this->sendRequest(CallSlot);
@@ -201,11 +216,38 @@
       return;
     }
     CallSlot.MustClose = CallSlot.MustClose || IsStale;
+    CallSlot.EarlierResponses += 1;
     CallSlot.Parser.next();
   }
-  if (CallSlot.Parser.error() != HttpParseError::None)
-    this->failCall(Index, std::string("answer: ") +
-                              parseErrorText(CallSlot.Parser.error()));
+  const HttpParseError ParseError = CallSlot.Parser.error();
+  if (ParseError != HttpParseError::None) {
+    this->failCall(Index, std::string("answer: ") + parseErrorText(ParseError),
+                   isLimitError(ParseError));
+    return;
+  }
+  if (CallSlot.EarlierResponses > MaxEarlierResponses) {
+    this->failCall(Index, "answer: too many interim responses", true);
+    return;
+  }
+  this->updateBufferedBytes(CallSlot);
+  if (this->BufferedBytes > this->Options.MaxBufferedBytes)
+    this->failLongestResponse();
+}
+
+void HttpClient::updateBufferedBytes(Slot &CallSlot) {
+  this->BufferedBytes -= CallSlot.BufferedBytes;
+  CallSlot.BufferedBytes =
+      CallSlot.isBusy() ? CallSlot.Parser.bufferedBytes() : 0;
+  this->BufferedBytes += CallSlot.BufferedBytes;
+}
+
+void HttpClient::failLongestResponse() {
+  const auto Longest = std::max_element(
+      this->Slots.begin(), this->Slots.end(), [](const auto &A, const auto &B) {
+        return A->BufferedBytes < B->BufferedBytes;
+      });
+  this->failCall(static_cast<size_t>(Longest - this->Slots.begin()),
+                 "answer: responses hold too many bytes", true);
 }
 
 bool HttpClient::isStaleResponse(Slot &CallSlot) const {
@@ -253,7 +295,8 @@
                             : "connection closed");
 }
 
-void HttpClient::failCall(size_t Index, const std::string &Cause) {
+void HttpClient::failCall(size_t Index, const std::string &Cause,
+                          bool ExceededLimit) {
   Slot &CallSlot = *this->Slots[Index];
   if (!CallSlot.isBusy())
     return;
@@ -265,13 +308,15 @@
                                           : CallOutcome::NotSent,
                           .Response = {},
                           .Cause = Cause,
-                          .ConnectionReused = CallSlot.ConnectionReused});
+                          .ConnectionReused = CallSlot.ConnectionReused,
+                          .ExceededLimit = ExceededLimit});
 }
 
 void HttpClient::completeCall(Slot &CallSlot, const CallResult &Result) {
   CallSlot.TimeoutTimer.cancel();
   const CompletionHandler OnDone = std::move(CallSlot.OnDone);
   CallSlot.OnDone = nullptr;
+  this->updateBufferedBytes(CallSlot);
   OnDone(Result);
 }
 
--- a/src/kernel/httpclient.h
+++ b/src/kernel/httpclient.h
@@ -40,6 +40,9 @@
 
   /** True when the connection had carried an earlier call. */
   bool ConnectionReused = false;
+
+  /** True when the response was longer than a limit of the client. */
+  bool ExceededLimit = false;
 };
 
 /** Server, connections and limits of an HttpClient. */
@@ -56,6 +59,12 @@
 
   size_t MaxBodyBytes = 0;
 
+  /**
+   * Bytes of incomplete responses that all calls together may buffer. Above the
+   * limit, the call with the longest one fails.
+   */
+  size_t MaxBufferedBytes = size_t{32} * 1024 * 1024;
+
   /**
    * Header that each response repeats from its request; empty for none. A
    * response with another value belongs to another request and is dropped.
@@ -115,6 +124,11 @@
    */
   void cancel(size_t Index, const std::string &Cause);
 
+  /** Replaces the limit of HttpClientOptions. */
+  void setMaxBufferedBytes(size_t Bytes) {
+    this->Options.MaxBufferedBytes = Bytes;
+  }
+
   /** Returns the number of connections opened so far. */
   uint64_t connectionsOpened() const { return this->ConnectionsOpened; }
 
@@ -129,12 +143,19 @@
   void onClosed(size_t Index, TcpCloseReason Reason);
   void onResponseComplete(Slot &CallSlot);
   bool isStaleResponse(Slot &CallSlot) const;
-  void failCall(size_t Index, const std::string &Cause);
-  static void completeCall(Slot &CallSlot, const CallResult &Result);
+  void failCall(size_t Index, const std::string &Cause,
+                bool ExceededLimit = false);
+  void updateBufferedBytes(Slot &CallSlot);
+  void failLongestResponse();
+  void completeCall(Slot &CallSlot, const CallResult &Result);
 
   Task &Owner;
   HttpClientOptions Options;
   std::vector<std::unique_ptr<Slot>> Slots;
+
+  /** Sum of the slots' BufferedBytes. */
+  size_t BufferedBytes = 0;
+
   uint64_t ConnectionsOpened = 0;
 };
 
--- a/src/kernel/httpparser.cpp
+++ b/src/kernel/httpparser.cpp
@@ -285,15 +285,20 @@
     this->ParseError = toParseError(Code);
     return;
   }
-  if (HeaderWasComplete)
-    return;
   // The buffer holds all of the header, although Beast may wait for more.
   if (!this->CurrentReader->isHeaderComplete()) {
     this->ParseError = HttpParseError::BadSyntax;
     return;
   }
-  this->KeepAlive = this->CurrentReader->shouldKeepAlive();
-  this->ParseError = this->checkHeader();
+  if (!HeaderWasComplete) {
+    this->KeepAlive = this->CurrentReader->shouldKeepAlive();
+    this->ParseError = this->checkHeader();
+  }
+  // Beast waits for the end of a chunk's size and of the trailers.
+  const bool WaitsForEnd =
+      this->ParseError == HttpParseError::None && !this->isComplete();
+  if (WaitsForEnd && this->Buffer.size() > this->Limits.MaxHeaderBytes)
+    this->ParseError = HttpParseError::HeaderTooLarge;
 }
 
 void HttpParser::finish() {
--- a/src/plugins/http/inboundcalls.cpp
+++ b/src/plugins/http/inboundcalls.cpp
@@ -82,6 +82,7 @@
                         .Remote = this->TargetEndpoint,
                         .SlotCount = SlotCount,
                         .MaxBodyBytes = MaxResponseBytes,
+                        .MaxBufferedBytes = this->maxBufferedBytes(),
                         .EchoedHeader =
                             Names.EchoesRequestId ? Names.RequestId : ""});
 }
@@ -110,6 +111,7 @@
     this->createTargetClient(Slots);
   else
     this->TargetClient->setSlotCount(Slots);
+  this->TargetClient->setMaxBufferedBytes(this->maxBufferedBytes());
 }
 
 void InboundCalls::setState(MemberState New) {
@@ -181,9 +183,11 @@
 bool InboundCalls::exceedsBufferLimit(const RequestMessage &Message) const {
   const size_t Bytes = Message.Request.Body.size();
   return Bytes > AlwaysAcceptedBodyBytes &&
-         this->BufferedBytes + Bytes >
-             static_cast<size_t>(
-                 this->CurrentSnapshot->Limits.MaxBufferedBytes);
+         this->BufferedBytes + Bytes > this->maxBufferedBytes();
+}
+
+size_t InboundCalls::maxBufferedBytes() const {
+  return static_cast<size_t>(this->CurrentSnapshot->Limits.MaxBufferedBytes);
 }
 
 void InboundCalls::handleRequest(const RequestKey &Key,
--- a/src/plugins/http/inboundcalls.h
+++ b/src/plugins/http/inboundcalls.h
@@ -131,6 +131,10 @@
    */
   const char *rejectionReason(const RequestMessage &Message) const;
   bool exceedsBufferLimit(const RequestMessage &Message) const;
+
+  /** Returns limits.max-held. \pre a snapshot is set. */
+  size_t maxBufferedBytes() const;
+
   void createTargetClient(size_t SlotCount);
   void startAtTarget(const RequestKey &Key);
   void onTargetDone(const RequestKey &Key, const CallResult &Result);
--- a/src/plugins/http/targethttpcodec.cpp
+++ b/src/plugins/http/targethttpcodec.cpp
@@ -68,6 +68,8 @@
   } else if (Result.Outcome != CallOutcome::Answered) {
     Message.Result = Outcome::Unknown;
     Message.Reason = "target: " + Result.Cause;
+    // Another target would probably send as much.
+    Message.NoRetry = Result.ExceededLimit;
   } else {
     this->decodeResponse(Result.Response, Message);
   }
--- a/tests/kernel/httpclient_test.cpp
+++ b/tests/kernel/httpclient_test.cpp
@@ -195,3 +195,72 @@
   cr_expect_eq(Results[2].Outcome, CallOutcome::Answered);
   cr_expect_eq(Server.connections(), 3);
 }
+
+Test(httpclient, ends_a_call_whose_response_has_no_end) {
+  const std::string Long(size_t{300} * 1024, 'a');
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+  std::string Interim;
+  for (int Count = 0; Count < 1000; ++Count)
+    Interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  const std::vector<std::string> Endless = {
+      "HTTP/1.1 200 OK\r\nX-Long: " + Long,
+      Chunked + std::string(Long.size(), '0'),
+      Chunked + "5;" + Long,
+      Chunked + "0\r\nX-Trailer: " + Long,
+      Chunked + "5000\r\n" + Long,
+      Interim,
+  };
+  RawServer Server(Loopback, [&Endless](int Number, const std::string &) {
+    return RawServer::Response{.Bytes =
+                                   Endless[static_cast<size_t>(Number) - 1]};
+  });
+  const TimePoint Start = Task::now();
+  const auto Results = callSequentially(
+      Server.port(), std::vector<std::string>(Endless.size(), "GET"),
+      seconds(3));
+  cr_expect_lt(toMilliseconds(Task::now() - Start), 2000);
+  for (size_t Index = 0; Index < Endless.size(); ++Index)
+    cr_expect_eq(Results[Index].Outcome, CallOutcome::NoResponse,
+                 "response %zu", Index);
+}
+
+Test(httpclient, fails_the_longest_response_above_the_limit_of_all) {
+  constexpr size_t LongBytes = 700;
+  constexpr size_t ShortBytes = 400;
+  // Both responses announce 1,000 bytes; one is completed later.
+  const std::string Header = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n";
+  RawServer Server(Loopback, [&](int, const std::string &Request) {
+    const bool IsLong = Request.find("/long") != std::string::npos;
+    return RawServer::Response{
+        .Bytes = Header + std::string(IsLong ? LongBytes : ShortBytes, 'x'),
+        .DelayMs = IsLong ? 0 : 100};
+  });
+  Task Owner({.Name = "test", .MaxSockets = 64});
+  HttpClient Client(Owner,
+                    {.Name = "client",
+                     .LocalIp = {},
+                     .Remote = {.Ip = Address(Loopback), .Port = Server.port()},
+                     .SlotCount = 2,
+                     .MaxBodyBytes = 1000,
+                     .MaxBufferedBytes = 1000});
+  std::vector<std::string> Failed;
+  const auto Call = [&](const std::string &Path, Duration Timeout) {
+    Client.call({.Method = "GET",
+                 .RequestTarget = Path,
+                 .Headers = {{"Host", "test"}},
+                 .Body = ""},
+                Timeout, [&, Path](const CallResult &Result) {
+                  Failed.push_back(Path);
+                  cr_expect_eq(Result.ExceededLimit, Path == "/long");
+                  if (Failed.size() == 2)
+                    Owner.stop();
+                });
+  };
+  Owner.post([&] {
+    Call("/long", seconds(3));
+    Call("/short", milliseconds(500));
+  });
+  Owner.run();
+  cr_assert_str_eq(Failed.front().c_str(), "/long");
+}
--- a/tests/kernel/requestpipeline_test.cpp
+++ b/tests/kernel/requestpipeline_test.cpp
@@ -245,3 +245,14 @@
   cr_assert(Pipeline.takeContinue());
   cr_assert_not(Pipeline.takeContinue());
 }
+
+Test(requestpipeline, refuses_chunk_sizes_and_trailers_without_end) {
+  const std::string Header =
+      "PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string Unended : {"5;", "0\r\nX-Trailer: "}) {
+    RequestPipeline Pipeline = makePipeline();
+    Pipeline.feed(Header + Unended + std::string(2000, 'a'), Start);
+    cr_assert(Pipeline.fault().has_value());
+    cr_expect_eq(Pipeline.fault()->Status, 431);
+  }
+}
--- a/tests/process/exacthttp_test.py
+++ b/tests/process/exacthttp_test.py
@@ -263,6 +263,27 @@
         assert fleet.vms[1].node.poll() is None
 
 
+def test_a_response_without_end_is_bounded_and_not_retried():
+    with MeshFleet(44, [("north", "shop"), ("south", "shop")]) as fleet:
+        fleet.start(config(1, [route("r-get", "/shop/", "shop")]))
+        assert fleet.wait_listed(2) is not None
+        for vm in fleet.vms:
+            fleet.knobs(vm, mode="endless")
+        response = exchange(fleet.vms[0].outbound, request_bytes(
+            "GET", "/shop/x", [("Connection", "close")]))
+        assert status_of(response) == 502, response[:200]
+        arrived = [fleet.arrived(vm) for vm in fleet.vms]
+        assert sum(len(target["runs"]) for target in arrived) == 1
+        # max-held, and what the sockets buffer.
+        assert sum(target["endless_bytes"] for target in arrived) < 48_000_000
+        for vm in fleet.vms:
+            fleet.knobs(vm, mode="plain")
+            assert vm.node.poll() is None
+        assert status_of(exchange(fleet.vms[0].outbound, request_bytes(
+            "GET", "/shop/x", [("Connection", "close")],
+            request_id="next"))) == 200
+
+
 def test_pipelined_requests_are_answered_in_order():
     with mesh(40) as fleet:
         data = b"".join(request_bytes("GET", f"/shop/{number}",
--- a/tests/standins/meshtarget.py
+++ b/tests/standins/meshtarget.py
@@ -14,7 +14,8 @@
 has been sent), extra (a second response follows), unframed (no length, ends
 with the connection), unframed_reset, truncated, reset, early (responds before
 it reads the body), wrong_id, no_id, unsigned, garbage, close (plain, then
-closes the connection), chunked, error (500), interim (100 Continue first).
+closes the connection), chunked, error (500), interim (100 Continue first),
+endless (chunks until the connection closes).
 """
 
 import asyncio
@@ -42,6 +43,7 @@
         self.runs = []
         self.aborted = 0
         self.connections = 0
+        self.endless_bytes = 0
         self.knobs = {"work_ms": 20, "mode": "plain", "count": -1}
 
     def next_mode(self):
@@ -63,7 +65,8 @@
             self.knobs.update(query)
         return response_bytes(200, body=json.dumps(
             {"runs": self.runs, "aborted": self.aborted,
-             "connections": self.connections}).encode())
+             "connections": self.connections,
+             "endless_bytes": self.endless_bytes}).encode())
 
     async def wait_service_time(self, reader):
         """Waits for the service time.
@@ -126,6 +129,13 @@
                          b"X-Trailer: t\r\n\r\n")
         elif mode == "interim":
             writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + response)
+        elif mode == "endless":
+            writer.write(response.split(b"Content-Length")[0] +
+                         b"Transfer-Encoding: chunked\r\n\r\n")
+            while not writer.is_closing():
+                writer.write(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+                await writer.drain()
+                self.endless_bytes += 0x10000
         elif mode == "error":
             writer.write(response_bytes(500, self.headers(request_id), b"no"))
         elif mode == "close":
