UpstreamView: an old load report counts like the mean of all reports

Cause: a report of an upstream's load lost half of its weight every 500 ms, towards zero.

Change: towards the moving mean of the upstream's own reports; one that is busy as a rule counts as busy until it says otherwise.

--- a/src/plugins/routing/upstreamview.cpp
+++ b/src/plugins/routing/upstreamview.cpp
@@ -35,9 +35,12 @@
 /** Upper limit of one sample of that ratio. */
 constexpr double MaxServiceTimeRatio = 10;
 
-/** Age at which a load report has half its weight. */
+/** Age at which a load report and the mean of all reports weigh the same. */
 constexpr Duration LoadHalfLife = milliseconds(500);
 
+/** Weight of the newest load report in the mean of all. */
+constexpr double LoadReportWeight = 0.3;
+
 /** Minimum slow-start factor; a newly listed target starts with it. */
 constexpr double MinSlowStartFactor = 0.1;
 
@@ -67,6 +70,12 @@
       KnownAtStart(KnownAtStart) {}
 
 void UpstreamView::onLoad(const LoadReport &Report, TimePoint Now) {
+  const double Weight = this->HasReport ? LoadReportWeight : 1;
+  this->MeanOutstanding +=
+      Weight * (Report.SlotsUsed + Report.Queued - this->MeanOutstanding);
+  for (size_t Index = 0; Index < ReportedPriorities; ++Index)
+    this->MeanWaitMicros[Index] += Weight * (Report.ExpectedWaitMicros[Index] -
+                                             this->MeanWaitMicros[Index]);
   this->LastReport = Report;
   this->LastReportTime = Now;
   this->HasReport = true;
@@ -145,12 +154,17 @@
                                                       : RoutePolicy.Slots);
 }
 
-double UpstreamView::outstandingRequests(TimePoint Now) const {
+double UpstreamView::reportWeight(TimePoint Now) const {
   const double Age = std::chrono::duration<double>(Now - this->LastReportTime) /
                      std::chrono::duration<double>(LoadHalfLife);
+  return std::exp2(-std::max(0.0, Age));
+}
+
+double UpstreamView::outstandingRequests(TimePoint Now) const {
+  const double Weight = this->reportWeight(Now);
   const double Reported =
-      (this->LastReport.SlotsUsed + this->LastReport.Queued) *
-          std::exp2(-std::max(0.0, Age)) +
+      Weight * (this->LastReport.SlotsUsed + this->LastReport.Queued) +
+      (1 - Weight) * this->MeanOutstanding +
       static_cast<double>(this->SentSinceReport);
   return std::max(Reported, static_cast<double>(this->InFlight));
 }
@@ -172,18 +186,17 @@
 Duration UpstreamView::expectedWait(const Policy &RoutePolicy,
                                     Duration ServiceTime, TimePoint Now) const {
   const double Slots = std::max(1.0, this->slots(RoutePolicy));
-  const double Excess = this->outstandingRequests(Now) + 1 - Slots;
-  if (Excess <= 0)
-    return Duration::zero();
-  const double Age = std::chrono::duration<double>(Now - this->LastReportTime) /
-                     std::chrono::duration<double>(LoadHalfLife);
   const auto Priority = static_cast<size_t>(
       std::clamp<int64_t>(RoutePolicy.Priority, 0, ReportedPriorities - 1));
-  const Duration Reported =
-      scaled(microseconds(this->LastReport.ExpectedWaitMicros[Priority]),
-             std::exp2(-std::max(0.0, Age)));
-  return Reported + scaled(ServiceTime,
-                           static_cast<double>(this->SentSinceReport) / Slots);
+  const double Weight = this->reportWeight(Now);
+  const double Reported =
+      Weight * this->LastReport.ExpectedWaitMicros[Priority] +
+      (1 - Weight) * this->MeanWaitMicros[Priority];
+  const double Excess = this->outstandingRequests(Now) + 1 - Slots;
+  const double SentAhead =
+      Excess <= 0 ? 0 : static_cast<double>(this->SentSinceReport);
+  return microseconds(static_cast<int64_t>(Reported)) +
+         scaled(ServiceTime, SentAhead / Slots);
 }
 
 Duration UpstreamView::expectedServiceTime(Duration Baseline,
--- a/src/plugins/routing/upstreamview.h
+++ b/src/plugins/routing/upstreamview.h
@@ -7,6 +7,8 @@
 #include "tree/policy.h"
 #include "tree/vmlist.h"
 
+#include <array>
+
 namespace bluebellbarrow {
 
 /** Outcome of an attempt as far as the choice of upstreams depends on it. */
@@ -110,11 +112,22 @@
   void eject(Duration BaseDuration, TimePoint Now);
   double slots(const Policy &RoutePolicy) const;
   double outstandingRequests(TimePoint Now) const;
+
+  /** Returns the weight of the last load report against the mean of all. */
+  double reportWeight(TimePoint Now) const;
+
   double slowStartFactor(const Policy &RoutePolicy, TimePoint Now) const;
 
   Vm ListedVm;
   LoadReport LastReport;
   TimePoint LastReportTime;
+
+  /** Moving mean of the running and queued requests in load reports. */
+  double MeanOutstanding = 0;
+
+  /** Moving means of the expected waits in load reports, in microseconds. */
+  std::array<double, ReportedPriorities> MeanWaitMicros{};
+
   MemberAnnouncement Announcement;
   TimePoint FirstSeen;
   TimePoint LastSent;
