--- a/tests/fuzz/fuzz.cpp
+++ b/tests/fuzz/fuzz.cpp
@@ -4,7 +4,7 @@
  * parsers, pipelined requests, frames and datagrams of other nodes, the
  * platform's responses, and settings.
  *
- *     fuzz --seed N --inputs COUNT
+ *     fuzz --seed N --inputs COUNT [--target NAME]
  *
  * The same seed gives the same inputs. The program aborts and prints the input
  * if a check fails. It also ends on a crash and, under the address sanitizer,
@@ -37,6 +37,7 @@
 
 DEFINE_uint64(seed, 1, "seed of the inputs");
 DEFINE_uint64(inputs, 200000, "number of inputs");
+DEFINE_string(target, "", "name of the only target to check; empty for all");
 
 using namespace bluebellbarrow; // NOLINT: test
 
@@ -478,7 +479,14 @@
 int main(int ArgumentCount, char **Arguments) {
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
   Engine Random(FLAGS_seed);
-  const std::vector<FuzzTarget> Targets = fuzzTargets();
+  std::vector<FuzzTarget> Targets = fuzzTargets();
+  std::erase_if(Targets, [](const FuzzTarget &Target) {
+    return !FLAGS_target.empty() && FLAGS_target != Target.Name;
+  });
+  if (Targets.empty()) {
+    std::fprintf(stderr, "unknown target\n");
+    return 1;
+  }
   for (uint64_t Number = 0; Number < FLAGS_inputs; ++Number) {
     const FuzzTarget &Target = Targets[Number % Targets.size()];
     Target.Check(makeInput(Target, Random), Random);
