HttpParser: a fault of the header goes before one of the body

Change: the header is checked first.

Ruled out: a memory error or a request that starts (both refuse it; no report of the sanitizers).

Test: reports_a_fault_of_the_header_before_one_of_the_body (400 before).

--- a/src/kernel/httpparser.cpp
+++ b/src/kernel/httpparser.cpp
@@ -281,23 +281,24 @@
   ErrorCode Code;
   const size_t Consumed = this->CurrentReader->put(this->Buffer, Code);
   this->Buffer.erase(0, Consumed);
+  const bool HeaderIsComplete = this->CurrentReader->isHeaderComplete();
+  if (!HeaderWasComplete && HeaderIsComplete) {
+    this->KeepAlive = this->CurrentReader->shouldKeepAlive();
+    this->ParseError = this->checkHeader();
+  }
+  if (this->ParseError != HttpParseError::None)
+    return;
   if (Code && Code != http::error::need_more) {
     this->ParseError = toParseError(Code);
     return;
   }
   // The buffer holds all of the header, although Beast may wait for more.
-  if (!this->CurrentReader->isHeaderComplete()) {
+  if (!HeaderIsComplete) {
     this->ParseError = HttpParseError::BadSyntax;
     return;
   }
-  if (!HeaderWasComplete) {
-    this->KeepAlive = this->CurrentReader->shouldKeepAlive();
-    this->ParseError = this->checkHeader();
-  }
   // Beast waits for the end of a chunk's size and of the trailers.
-  const bool WaitsForEnd =
-      this->ParseError == HttpParseError::None && !this->isComplete();
-  if (WaitsForEnd && this->Buffer.size() > this->Limits.MaxHeaderBytes)
+  if (!this->isComplete() && this->Buffer.size() > this->Limits.MaxHeaderBytes)
     this->ParseError = HttpParseError::HeaderTooLarge;
 }
 
--- a/src/kernel/httpparser.h
+++ b/src/kernel/httpparser.h
@@ -99,6 +99,7 @@
 
   /** Returns the request. \pre isHeaderComplete(), for Kind::Request. */
   HttpRequest &request() { return this->Request; }
+
   const HttpRequest &request() const { return this->Request; }
 
   /** Returns the response. \pre isHeaderComplete(), for Kind::Response. */
--- a/tests/kernel/requestpipeline_test.cpp
+++ b/tests/kernel/requestpipeline_test.cpp
@@ -191,6 +191,15 @@
   cr_assert_eq(Pipeline.fault()->Status, 400);
 }
 
+Test(requestpipeline, reports_a_fault_of_the_header_before_one_of_the_body) {
+  RequestPipeline Pipeline = makePipeline();
+  Pipeline.feed("PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: odd, "
+                "chunked\r\n\r\nno chunk\r\n",
+                Start);
+  cr_assert(Pipeline.fault().has_value());
+  cr_assert_eq(Pipeline.fault()->Status, 501);
+}
+
 Test(requestpipeline, refuses_a_target_without_a_path_in_its_turn) {
   RequestPipeline Pipeline = makePipeline();
   uint64_t Number = 0;
