--- a/src/kernel/httpclient.h
+++ b/src/kernel/httpclient.h
@@ -41,7 +41,7 @@
   /** True when the connection had carried an earlier call. */
   bool ConnectionReused = false;
 
-  /** True when the response was longer than a limit of the client. */
+  /** True when the call failed since its response exceeded a limit. */
   bool ExceededLimit = false;
 };
 
--- a/src/kernel/httpserver.cpp
+++ b/src/kernel/httpserver.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 struct HttpServer::ClientConnection {
-  explicit ClientConnection(const HttpServerLimits &Limits,
-                            RequestPipeline::IdempotencyCheck IsIdempotent)
+  ClientConnection(const HttpServerLimits &Limits,
+                   RequestPipeline::IdempotencyCheck IsIdempotent)
       : Pipeline(Limits.MessageLimits, Limits.MaxPipelinedRequests,
                  std::move(IsIdempotent)) {}
 
--- a/src/kernel/requestpipeline.h
+++ b/src/kernel/requestpipeline.h
@@ -101,14 +101,16 @@
   /** Returns the received bytes that wait until a request can start. */
   size_t waitingBytes() const { return this->Parser.surplusBytes(); }
 
-  /** Returns true when bytes of a request that has not started were received.
-   */
+  /** Returns true when a part of the next request was received. */
   bool hasPartialRequest() const { return this->Parser.hasStarted(); }
 
-  /** Returns true when the header of that request is complete. */
+  /** Returns true when the header of the next request is complete. */
   bool isHeaderComplete() const { return this->Parser.isHeaderComplete(); }
 
-  /** Returns when the first byte of that request was received. */
+  /**
+   * Returns when the first byte of the next request was received.
+   * \pre hasPartialRequest().
+   */
   TimePoint requestStart() const { return this->RequestStart; }
 
 private:
