--- a/tests/process/exacthttp_test.py
+++ b/tests/process/exacthttp_test.py
@@ -284,6 +284,21 @@
             request_id="next"))) == 200
 
 
+def test_a_response_that_trickles_ends_with_the_deadline():
+    with mesh(45) as fleet:
+        target = fleet.vms[0]
+        for endpoint in outbound_endpoints(fleet):
+            fleet.knobs(target, mode="trickle", count=1)
+            start = time.monotonic()
+            response = exchange(endpoint, request_bytes(
+                "POST", "/order/x", [("Connection", "close")], remaining=800))
+            assert time.monotonic() - start < 0.8 + CANCEL_LIMIT
+            assert status_of(response) in (502, 504), response
+            assert status_of(exchange(endpoint, request_bytes(
+                "GET", "/shop/x", [("Connection", "close")],
+                request_id="next"))) == 200
+
+
 def test_pipelined_requests_are_answered_in_order():
     with mesh(40) as fleet:
         data = b"".join(request_bytes("GET", f"/shop/{number}",
--- a/tests/process/pipeline_test.py
+++ b/tests/process/pipeline_test.py
@@ -149,5 +149,29 @@
         assert status_of(first) == 504, first
 
 
+def test_responses_of_other_requests_stay_out_of_a_pipeline():
+    with mesh(53) as fleet:
+        fleet.knobs(fleet.vms[0], work_ms=20)
+        for mode in ("extra", "late", "wrong_id", "close", "chunked"):
+            for vm in fleet.vms:
+                fleet.knobs(fleet.vms[0], mode=mode, count=3)
+                before = len(fleet.runs(fleet.vms[0]))
+                received = exchange(vm.outbound, b"".join(
+                    get(number) for number in range(6)) +
+                    get(6, ("Connection", "close")))
+                parts = received.split(b"HTTP/1.1 ")[1:]
+                assert len(parts) == 7, (mode, received)
+                ran = paths(fleet.runs(fleet.vms[0])[before:])
+                for number, part in enumerate(parts):
+                    if part.startswith(b"200 "):
+                        assert f"Attempt-Id: p{number}\r\n".encode() in part
+                        assert part.endswith(b"the target's bytes"), part
+                    elif part.startswith(b"503 "):
+                        assert f"/shop/{number}" not in ran, (mode, part)
+                    else:
+                        assert part[:4] in (b"502 ", b"504 "), (mode, part)
+                assert b"another" not in received, (mode, received)
+
+
 if __name__ == "__main__":
     harness.main(sys.modules[__name__])
--- a/tests/standins/meshtarget.py
+++ b/tests/standins/meshtarget.py
@@ -15,7 +15,8 @@
 with the connection), unframed_reset, truncated, reset, early (responds before
 it reads the body), wrong_id, no_id, unsigned, garbage, close (plain, then
 closes the connection), chunked, error (500), interim (100 Continue first),
-endless (chunks until the connection closes).
+endless (chunks until the connection closes), trickle (a header of one byte
+every 20 ms until then).
 """
 
 import asyncio
@@ -136,6 +137,13 @@
                 writer.write(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
                 await writer.drain()
                 self.endless_bytes += 0x10000
+        elif mode == "trickle":
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
+            while not writer.is_closing():
+                writer.write(b"a")
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            return False
         elif mode == "error":
             writer.write(response_bytes(500, self.headers(request_id), b"no"))
         elif mode == "close":
