--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -372,11 +372,14 @@
     def body(self):
         return bytes(self.received).partition(b"\r\n\r\n")[2]
 
+    @property
+    def length(self):
+        """The length that the head announces."""
+        return int(self.header("Content-Length") or 0)
+
     @property
     def complete(self):
-        if b"\r\n\r\n" not in self.received:
-            return False
-        return len(self.body) == int(self.header("Content-Length") or 0)
+        return bool(self.received) and len(self.body) == self.length
 
 
 class Client:
@@ -386,6 +389,7 @@
         self.endpoint = endpoint
         self.receive_buffer = receive_buffer
         self.socket = None
+        self.unread = bytearray()
 
     async def connect(self):
         self.socket = socket.socket()
@@ -401,37 +405,60 @@
 
     async def receive(self, seconds, rate=0):
         """Reads one answer, at no more than rate bytes a second if given."""
-        answer = Answer()
-        loop = asyncio.get_running_loop()
+        return (await self.receive_all(1, seconds, rate))[0]
+
+    async def receive_all(self, count, seconds, rate=0):
+        """Reads the answers to count requests that were sent together."""
+        answers = [Answer() for _ in range(count)]
         start = time.monotonic()
-        while not answer.complete:
-            left = start + seconds - time.monotonic()
-            if left <= 0:
-                answer.ended = "no whole answer in time"
-                return answer
-            if rate:
-                allowed = int((time.monotonic() - start) * rate)
-                size = min(16384, allowed - len(answer.received))
-                if size < 2048:
-                    await asyncio.sleep(0.01)
-                    continue
-            else:
-                size = 65536
-            try:
-                part = await asyncio.wait_for(
-                    loop.sock_recv(self.socket, size), left)
-            except asyncio.TimeoutError:
-                answer.ended = "no whole answer in time"
-                return answer
-            except ConnectionError as error:
-                answer.ended = f"connection reset ({error.strerror})"
-                return answer
-            if not part:
-                answer.ended = "connection closed"
-                return answer
-            answer.received += part
-        answer.ended = "complete"
-        return answer
+        received = 0
+        for answer in answers:
+            while not answer.complete:
+                if rate:
+                    allowed = int((time.monotonic() - start) * rate)
+                    size = min(16384, allowed - received)
+                    if size < 2048:
+                        await asyncio.sleep(0.01)
+                        continue
+                else:
+                    size = 65536
+                ended, part = await self.receive_part(
+                    size, start + seconds - time.monotonic())
+                if ended:
+                    for unanswered in answers[answers.index(answer):]:
+                        unanswered.ended = ended
+                    return answers
+                received += len(part)
+                self.unread += part
+                self.move_bytes(answer)
+            answer.ended = "complete"
+            if answer is not answers[-1]:
+                self.move_bytes(answers[answers.index(answer) + 1])
+        return answers
+
+    async def receive_part(self, size, seconds):
+        """Returns why there are no more bytes, or "", and the next bytes."""
+        try:
+            part = await asyncio.wait_for(
+                asyncio.get_running_loop().sock_recv(self.socket, size),
+                max(0, seconds))
+        except asyncio.TimeoutError:
+            return "no whole answer in time", b""
+        except ConnectionError as error:
+            return f"connection reset ({error.strerror})", b""
+        return ("" if part else "connection closed"), part
+
+    def move_bytes(self, answer):
+        """Moves the bytes that belong to an answer out of the unread ones."""
+        end = self.unread.find(b"\r\n\r\n")
+        if not answer.received:
+            if end < 0:
+                return
+            answer.received += self.unread[:end + 4]
+            del self.unread[:end + 4]
+        missing = answer.length - len(answer.body)
+        answer.received += self.unread[:missing]
+        del self.unread[:missing]
 
     def close(self):
         if self.socket is not None:
