VM list: a malformed entry is skipped alone

Cause: one entry of another writer whose service has a space. The parts of a VM list are lines of words, so parsePlatformVmList() refused the list as a whole, and so each later one.

Ruled out: the store's responses (each change was read) and dissemination (nothing was accepted to be pushed).

Change: names are percent-encoded in the parts; an entry that can't be used is skipped alone, in the platform's list, in a part of another node and in a page of the store; one line "vm-list vms-skipped" for each change.

--- a/src/bluebellbarrow/fleetclient.cpp
+++ b/src/bluebellbarrow/fleetclient.cpp
@@ -141,14 +141,7 @@
         Errc::Unreachable, "fetch VM list", this->Peer.str(),
         "no VM list received; check that --peer is a node of mesh '" +
             this->Mesh + "'");
-  std::vector<Vm> Nodes;
-  for (const ManifestEntry &Entry : (*List)->Content.Entries) {
-    const auto Vms = parseVmPart(Entry.Path, (*List)->partText(Entry.Path));
-    if (!Vms)
-      return Vms.error();
-    Nodes.insert(Nodes.end(), Vms.value().begin(), Vms.value().end());
-  }
-  return Nodes;
+  return parseVmParts((*List)->Content, (*List)->Parts).Vms;
 }
 
 std::vector<NodeReport> FleetClient::pollNodes(const std::vector<Vm> &Nodes,
--- a/src/plugins/audit/auditevent.cpp
+++ b/src/plugins/audit/auditevent.cpp
@@ -24,6 +24,8 @@
     return "paused";
   case AuditKind::VmsKept:
     return "vms-kept";
+  case AuditKind::VmsSkipped:
+    return "vms-skipped";
   case AuditKind::VmsDropped:
     return "vms-dropped";
   }
--- a/src/plugins/audit/auditevent.h
+++ b/src/plugins/audit/auditevent.h
@@ -28,6 +28,9 @@
   /** VMs that the list lacks are retained after an outage of the platform. */
   VmsKept,
 
+  /** A list has malformed VMs, which are not used; or no longer has any. */
+  VmsSkipped,
+
   /** Retained VMs were not listed again in time. */
   VmsDropped,
 };
--- a/src/plugins/spread/controlplaneplugin.cpp
+++ b/src/plugins/spread/controlplaneplugin.cpp
@@ -221,6 +221,7 @@
       this->Context.NodeMetrics.add(Metric::VersionConflicts, "");
     const bool IsProblem = Event.Kind == AuditKind::Refused ||
                            Event.Kind == AuditKind::Conflict ||
+                           Event.Kind == AuditKind::VmsSkipped ||
                            Event.Kind == AuditKind::DigestMismatch;
     logMessage(IsProblem ? LogLevel::Warning : LogLevel::Info,
                {.Step = std::string(resourceKindName(Event.Resource)) + " " +
--- a/src/plugins/spread/disseminator.cpp
+++ b/src/plugins/spread/disseminator.cpp
@@ -205,15 +205,16 @@
 }
 
 void Disseminator::onVmList(const std::string &Text, TimePoint Now) {
-  const Result<VmList> List = parsePlatformVmList(Text);
-  if (!List) {
+  const Result<ParsedVmList> Parsed = parsePlatformVmList(Text);
+  if (!Parsed) {
     this->audit(AuditKind::Refused, ResourceKind::VmList, VersionId(),
-                "platform", List.error().message());
+                "platform", Parsed.error().message());
     return;
   }
+  this->auditSkippedVms(Parsed.value().Skipped, "platform");
   auto Version = std::make_shared<FullVersion>();
-  Version->Content =
-      buildVmListManifest(this->Options.Mesh, List.value(), Version->Parts);
+  Version->Content = buildVmListManifest(this->Options.Mesh,
+                                         Parsed.value().List, Version->Parts);
   Version->Id = computeVersionId(Version->Content);
   const FullVersionPtr Current = this->store(ResourceKind::VmList).current();
   if (Current != nullptr &&
@@ -223,6 +224,20 @@
                       {.Kind = SourceKind::Platform, .Name = "platform"}, Now);
 }
 
+void Disseminator::auditSkippedVms(const std::vector<Error> &Skipped,
+                                   const std::string &Source) {
+  const std::string Detail =
+      Skipped.empty() ? std::string()
+                      : std::to_string(Skipped.size()) +
+                            " VMs skipped, first: " + Skipped.front().message();
+  std::string &Previous = this->AuditedSkips[Source];
+  if (Detail == Previous)
+    return;
+  Previous = Detail;
+  this->audit(AuditKind::VmsSkipped, ResourceKind::VmList, VersionId(), Source,
+              Skipped.empty() ? "no VM is skipped any more" : Detail);
+}
+
 void Disseminator::onBlob(const Digest &Hash, const std::string *Text,
                           TimePoint Now) {
   if (!this->Fetcher.onBlob(Hash, Text, Now))
@@ -285,11 +300,8 @@
 
 void Disseminator::applyVmList(TimePoint Now) {
   const FullVersionPtr List = this->store(ResourceKind::VmList).current();
-  std::vector<Vm> Listed;
-  for (const ManifestEntry &Entry : List->Content.Entries) {
-    const auto Vms = parseVmPart(Entry.Path, List->partText(Entry.Path));
-    Listed.insert(Listed.end(), Vms.value().begin(), Vms.value().end());
-  }
+  ParsedVms Parsed = parseVmParts(List->Content, List->Parts);
+  this->auditSkippedVms(Parsed.Skipped, "self");
   // The list may arrive before the read status of the read that returned it, so
   // the schedule may still show the platform as down.
   const TimePoint RecoveredAt =
@@ -297,7 +309,7 @@
           ? Now
           : this->Schedule.recoveredAt().value_or(
                 Now - this->CurrentPolicy.LeaseGracePeriod);
-  this->Retention.applyList(std::move(Listed),
+  this->Retention.applyList(std::move(Parsed.Vms),
                             RecoveredAt + this->CurrentPolicy.LeaseGracePeriod,
                             Now);
   if (this->Retention.retainedCount() > 0)
--- a/src/plugins/spread/disseminator.h
+++ b/src/plugins/spread/disseminator.h
@@ -181,6 +181,10 @@
 
   void onConfigManifest(const std::string &Text, TimePoint Now);
   void onVmList(const std::string &Text, TimePoint Now);
+
+  /** Audits the VMs that a list of \a Source lacks, once for each change. */
+  void auditSkippedVms(const std::vector<Error> &Skipped,
+                       const std::string &Source);
   void advanceFetch(TimePoint Now);
 
   /** Source of a version. */
@@ -297,6 +301,9 @@
   /** This incarnation has read the platform successfully. */
   bool HasReadPlatform = false;
 
+  /** Detail of the last VmsSkipped entry by its source; empty for none. */
+  std::map<std::string, std::string> AuditedSkips;
+
   TimePoint HoldDownUntil;
   TimePoint TransferWindowStart;
   int64_t TransfersInWindow = 0;
--- a/src/plugins/spread/versioncompiler.cpp
+++ b/src/plugins/spread/versioncompiler.cpp
@@ -43,11 +43,9 @@
                            Tree.value()->meshName() + "'");
     return std::nullopt;
   }
-  for (const ManifestEntry &Entry : Version.Content.Entries) {
-    const auto Vms = parseVmPart(Entry.Path, Version.partText(Entry.Path));
-    if (!Vms)
-      return Vms.error();
-  }
+  const ParsedVms Parsed = parseVmParts(Version.Content, Version.Parts);
+  if (Parsed.Vms.empty() && !Parsed.Skipped.empty())
+    return Parsed.Skipped.front();
   return std::nullopt;
 }
 
--- a/src/tree/vmlist.cpp
+++ b/src/tree/vmlist.cpp
@@ -1,5 +1,7 @@
 #include "vmlist.h"
 
+#include "kernel/percentencoding.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -16,6 +18,14 @@
 
 using Json = nlohmann::json;
 
+constexpr const char *ParseStep = "parse VM list";
+
+/** Longest name, domain, service or target of a VM, in bytes. */
+constexpr size_t MaxTextBytes = 1024;
+
+/** Longest part of a VM's name in an error, in bytes. */
+constexpr size_t MaxNameBytesInError = 80;
+
 /** An optional property of a VM, in the platform's JSON and in a part. */
 struct Property {
   const char *Name;
@@ -78,14 +88,37 @@
   return Found == Properties.end() ? nullptr : &*Found;
 }
 
-bool isWord(const std::string &Text) {
-  return !Text.empty() && Text.find_first_of(" \n\t") == std::string::npos;
+bool isValidText(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxTextBytes;
+}
+
+/** Returns true if \a Id can be the value of a header. */
+bool isValidTarget(const std::string &Id) {
+  const auto IsControl = [](unsigned char Byte) {
+    return Byte < 0x20 || Byte == 0x7f;
+  };
+  return Id.size() <= MaxTextBytes && Id.front() != ' ' && Id.back() != ' ' &&
+         std::none_of(Id.begin(), Id.end(), IsControl);
+}
+
+/** Returns the property that makes \a Source unusable; null for none. */
+const char *findMalformedProperty(const Vm &Source) {
+  if (!isValidText(Source.Name.str()))
+    return "name";
+  if (!isValidText(Source.Ip.str()))
+    return "address";
+  if (!isValidText(Source.Domain.str()))
+    return "domain";
+  if (!isValidText(Source.Service.str()))
+    return "service";
+  if (!Source.Target.empty() && !isValidTarget(Source.Target.str()))
+    return "target";
+  return nullptr;
 }
 
-bool isWellFormed(const Vm &Source) {
-  return isWord(Source.Name.str()) && isWord(Source.Ip.str()) &&
-         isWord(Source.Domain.str()) && isWord(Source.Service.str()) &&
-         (Source.Target.empty() || isWord(Source.Target.str()));
+/** Returns a name as one word of limited length. */
+std::string shortName(const std::string &Name) {
+  return percentEncode(Name).substr(0, MaxNameBytesInError);
 }
 
 /** Parses one VM of the platform's JSON; throws if it is malformed. */
@@ -101,51 +134,99 @@
                              Source[CurrentProperty.Name].get<std::string>()))
       throw std::invalid_argument(std::string("invalid property '") +
                                   CurrentProperty.Name + "' of VM " +
-                                  Parsed.Name.str());
+                                  shortName(Parsed.Name.str()));
+  if (const char *Malformed = findMalformedProperty(Parsed))
+    throw std::invalid_argument(std::string("malformed ") + Malformed +
+                                " of VM " + shortName(Parsed.Name.str()));
   return Parsed;
 }
 
+/** Adds one VM of the platform's JSON to \a Output. */
+void addVm(const Json &Source, ParsedVmList &Output) {
+  try {
+    Output.List.Vms.push_back(parseVm(Source));
+  } catch (const std::exception &Exception) {
+    Output.Skipped.push_back(
+        makeError(Errc::BadValue, ParseStep, "", Exception.what()));
+  }
+}
+
 /** Formats a VM as one line of a part. */
 std::string formatVmLine(const Vm &Source) {
-  std::string Line = Source.Name.str() + " " + Source.Ip.str() + " " +
-                     Source.Domain.str() + " " +
+  std::string Line = percentEncode(Source.Name.str()) + " " +
+                     percentEncode(Source.Ip.str()) + " " +
+                     percentEncode(Source.Domain.str()) + " " +
                      (Source.Leaving ? "leaving" : "live");
   for (const Property &CurrentProperty : Properties) {
     const std::string Text = CurrentProperty.Get(Source);
     if (!Text.empty())
-      Line += std::string(" ") + CurrentProperty.Name + "=" + Text;
+      Line +=
+          std::string(" ") + CurrentProperty.Name + "=" + percentEncode(Text);
   }
   return Line + "\n";
 }
 
-/**
- * Parses one line of a part and ignores unknown properties; returns false if
- * the line is malformed.
- */
+/** Reads the next word of a line and decodes it; returns false at its end. */
+template <typename Name>
+bool readName(std::istringstream &Words, Name &Output) {
+  std::string Word;
+  if (!(Words >> Word))
+    return false;
+  std::optional<std::string> Decoded = percentDecode(Word);
+  if (!Decoded)
+    return false;
+  Output = Name(std::move(*Decoded));
+  return true;
+}
+
+/** Sets the property in \a Word, "NAME=VALUE"; ignores an unknown one. */
+bool readProperty(const std::string &Word, Vm &Output) {
+  const size_t Equals = Word.find('=');
+  const Property *Found = findProperty(Word.substr(0, Equals));
+  if (Found == nullptr)
+    return true;
+  if (Equals == std::string::npos)
+    return false;
+  const std::optional<std::string> Value =
+      percentDecode(std::string_view(Word).substr(Equals + 1));
+  return Value && Found->Set(Output, *Value);
+}
+
+/** Parses one line of a part; returns false if the line is malformed. */
 bool parseVmLine(const std::string &Line, Vm &Output) {
   std::istringstream Words(Line);
-  std::string Name;
-  std::string Ip;
-  std::string Domain;
   std::string State;
-  if (!(Words >> Name >> Ip >> Domain >> State))
+  if (!readName(Words, Output.Name) || !readName(Words, Output.Ip) ||
+      !readName(Words, Output.Domain) || !(Words >> State))
     return false;
-  Output.Name = VmName(Name);
-  Output.Ip = Address(Ip);
-  Output.Domain = FailureDomain(Domain);
   Output.Leaving = State == "leaving";
-  for (std::string Word; Words >> Word;) {
-    const size_t Equals = Word.find('=');
-    const Property *Found = findProperty(Word.substr(0, Equals));
-    if (Found == nullptr)
-      continue;
-    if (Equals == std::string::npos ||
-        !Found->Set(Output, Word.substr(Equals + 1)))
+  for (std::string Word; Words >> Word;)
+    if (!readProperty(Word, Output))
       return false;
-  }
   return true;
 }
 
+/** Adds the VMs of one part to \a Output. */
+void addVmsOfPart(const std::string &Path, const std::string &Text,
+                  ParsedVms &Output) {
+  const std::string Step = "parse VMs of " + shortName(Path);
+  const std::optional<std::string> Service = percentDecode(Path);
+  if (!Service) {
+    Output.Skipped.push_back(
+        makeError(Errc::BadSyntax, Step, "", "malformed name of a service"));
+    return;
+  }
+  std::istringstream Lines(Text);
+  for (std::string Line; std::getline(Lines, Line);) {
+    Vm Parsed{.Service = ServiceName(*Service)};
+    if (parseVmLine(Line, Parsed))
+      Output.Vms.push_back(std::move(Parsed));
+    else
+      Output.Skipped.push_back(
+          makeError(Errc::BadSyntax, Step, "", "line " + shortName(Line)));
+  }
+}
+
 } // namespace
 
 void sortVms(std::vector<Vm> &Vms) {
@@ -171,21 +252,20 @@
   return Json{{"revision", List.Revision.value()}, {"vms", Vms}}.dump();
 }
 
-Result<VmList> parsePlatformVmList(const std::string &Text) {
-  static const std::string Step = "parse VM list";
+Result<ParsedVmList> parsePlatformVmList(const std::string &Text) {
   try {
     const Json Root = Json::parse(Text);
-    VmList List{.Revision = VersionNumber(Root.at("revision").get<uint64_t>())};
-    for (const Json &Entry : Root.at("vms"))
-      List.Vms.push_back(parseVm(Entry));
-    if (!std::all_of(List.Vms.begin(), List.Vms.end(), isWellFormed))
-      return makeError(
-          Errc::BadValue, Step, "",
-          "a VM has a malformed name, address, domain, service or target");
-    sortVms(List.Vms);
-    return List;
+    ParsedVmList Parsed;
+    Parsed.List.Revision = VersionNumber(Root.at("revision").get<uint64_t>());
+    const Json &Entries = Root.at("vms");
+    if (!Entries.is_array())
+      return makeError(Errc::BadSyntax, ParseStep, "", "'vms' is not a list");
+    for (const Json &Entry : Entries)
+      addVm(Entry, Parsed);
+    sortVms(Parsed.List.Vms);
+    return Parsed;
   } catch (const std::exception &Exception) {
-    return makeError(Errc::BadSyntax, Step, "", Exception.what());
+    return makeError(Errc::BadSyntax, ParseStep, "", Exception.what());
   }
 }
 
@@ -193,24 +273,18 @@
                              PartsByDigest &Parts) {
   std::map<std::string, std::string> Texts;
   for (const Vm &Listed : List.Vms)
-    Texts[Listed.Service.str()] += formatVmLine(Listed);
+    Texts[percentEncode(Listed.Service.str())] += formatVmLine(Listed);
   Manifest Content{.Mesh = Mesh, .Number = List.Revision};
-  for (const auto &[Service, Text] : Texts)
-    addPart(Content, Parts, Service, Text);
+  for (const auto &[Path, Text] : Texts)
+    addPart(Content, Parts, Path, Text);
   return Content;
 }
 
-Result<std::vector<Vm>> parseVmPart(const std::string &Service,
-                                    const std::string &Text) {
-  std::vector<Vm> Vms;
-  std::istringstream Lines(Text);
-  for (std::string Line; std::getline(Lines, Line);) {
-    Vm Parsed{.Service = ServiceName(Service)};
-    if (!parseVmLine(Line, Parsed))
-      return makeError(Errc::BadSyntax, "parse VMs of " + Service, "", Line);
-    Vms.push_back(std::move(Parsed));
-  }
-  return Vms;
+ParsedVms parseVmParts(const Manifest &Content, const PartsByDigest &Parts) {
+  ParsedVms Parsed;
+  for (const ManifestEntry &Entry : Content.Entries)
+    addVmsOfPart(Entry.Path, *Parts.at(Entry.Hash), Parsed);
+  return Parsed;
 }
 
 } // namespace bluebellbarrow
--- a/src/tree/vmlist.h
+++ b/src/tree/vmlist.h
@@ -58,6 +58,18 @@
   std::vector<Vm> Vms;
 };
 
+/** The VMs of a text that could be parsed, and a fault for each other one. */
+struct ParsedVms {
+  std::vector<Vm> Vms;
+  std::vector<Error> Skipped;
+};
+
+/** The VMs of a list that could be parsed, and a fault for each other one. */
+struct ParsedVmList {
+  VmList List;
+  std::vector<Error> Skipped;
+};
+
 /** Sorts \a Vms in the order of VmList::Vms. */
 void sortVms(std::vector<Vm> &Vms);
 
@@ -65,22 +77,28 @@
 std::string formatPlatformVmList(const VmList &List);
 
 /**
- * Parses the platform's JSON. Errors: BadSyntax, or BadValue for a VM whose
- * name, address, domain, service or target is malformed. Thread safety: safe.
+ * Parses the platform's JSON. A malformed VM is skipped, so that it has no
+ * effect on the others. Errors: BadSyntax for a text that is no list of VMs
+ * with a revision. Thread safety: safe.
  */
-Result<VmList> parsePlatformVmList(const std::string &Text);
+Result<ParsedVmList> parsePlatformVmList(const std::string &Text);
 
 /**
  * Returns the manifest of a list, with one part for each service, so that a
  * change of one VM changes only one part; adds the texts of the parts to
- * \a Parts. Every reader builds the same parts from the same list.
+ * \a Parts. Names are percent-encoded, so any text may be one. Every reader
+ * builds the same parts from the same list.
  */
 Manifest buildVmListManifest(const std::string &Mesh, const VmList &List,
                              PartsByDigest &Parts);
 
-/** Parses one part of buildVmListManifest(). Errors: BadSyntax. */
-Result<std::vector<Vm>> parseVmPart(const std::string &Service,
-                                    const std::string &Text);
+/**
+ * Parses the parts of buildVmListManifest(); skips a malformed line.
+ *
+ * \pre \a Parts holds every part of \a Content.
+ * Thread safety: safe.
+ */
+ParsedVms parseVmParts(const Manifest &Content, const PartsByDigest &Parts);
 
 } // namespace bluebellbarrow
 
--- a/tests/process/platformpath_test.py
+++ b/tests/process/platformpath_test.py
@@ -1,5 +1,6 @@
 """Distribution from the platform's store to the nodes, on real processes."""
 
+import itertools
 import sys
 import threading
 
@@ -187,6 +188,57 @@
         assert all(node_vm.node.poll() is None for node_vm in fleet.vms)
 
 
+def odd_entries(fleet):
+    """Returns well-formed entries of another writer with unusual values."""
+    ports = itertools.count(APP_PORT)
+
+    def entry(**information):
+        return {"address": f"127.{fleet.net}.0.200:{next(ports)}",
+                "born": 1000,
+                "information": {"service": "legacy", "version": "v1",
+                                "zone": "north", "slots": 4, **information},
+                "status": {"state": "ready", "sequenceNumber": 1,
+                           "coldRemaining": "0ms"}}
+    entries = {f"odd-{number}": entry(**information)
+               for number, information in enumerate([
+                   {"service": "legacy billing"}, {"service": ""},
+                   {"service": "a\nb"}, {"service": "caf\u00e9 %41"},
+                   {"service": "s" * 5000}, {"zone": "north west"},
+                   {"zone": ""}, {"zone": "\u0000"},
+                   {"slots": 2 ** 63 - 1}])}
+    entries["odd%20id"] = entry()
+    entries["odd%0Aid"] = entry()
+    entries[""] = entry()
+    for number, cold in enumerate(["1e300ms", "nanms", "infs"]):
+        entries[f"cold-{number}"] = entry()
+        entries[f"cold-{number}"]["status"]["coldRemaining"] = cold
+    return entries
+
+
+# Guards against an entry of another writer that stops the whole list: leaving
+# targets got requests until they ended, and restarted nodes were never ready.
+def test_an_odd_entry_stops_no_other_entry():
+    with mesh(67, [("north", "shop"), ("south", "shop")]) as fleet:
+        for key, value in odd_entries(fleet).items():
+            fleet.store("put", json.dumps(value).encode(),
+                        key=f"servers/{key}")
+        leaving = fleet.vms[0]
+        fleet.publish_entry(leaving, "draining")
+        time.sleep(APPLY_LIMIT)
+        before = len(fleet.runs(leaving))
+        for vm in fleet.vms * 4:
+            assert status_of(get(vm)) == 200
+        assert len(fleet.runs(leaving)) == before
+        for vm in fleet.vms:
+            vm.node.kill()
+            vm.node.wait()
+        for vm in fleet.vms:
+            fleet.start_node(vm)
+        assert fleet.wait_in_force(1, 10) is not None
+        for vm in fleet.vms * 2:
+            assert status_of(get(vm)) == 200
+
+
 def test_calls_go_on_while_the_store_is_away():
     for net, outage in ((56, "busy"), (57, "reset"), (58, "silent")):
         with mesh(net) as fleet:
