--- a/tests/process/platformpath_test.py
+++ b/tests/process/platformpath_test.py
@@ -239,6 +239,26 @@
             assert status_of(get(vm)) == 200
 
 
+# Guards against a key that ends a page and is cut or refused in the request
+# for the next one: the listing never ended, and no node became ready.
+def test_pages_may_end_with_any_key():
+    with mesh(68, [("north", "shop"), ("south", "shop")]) as fleet:
+        for number, key in enumerate([
+                "a%20b", "a%26prefix=x", "a%23b", "a%25", "a%2541", "a%2Bb",
+                "a%0Ab", "a%00b", "caf%C3%A9", "%22"]):
+            fleet.store("put", f"odd {number}".encode(), key=f"servers/{key}")
+        fleet.store("knobs", page=1)
+        for vm in fleet.vms:
+            vm.node.kill()
+            vm.node.wait()
+        for vm in fleet.vms:
+            fleet.start_node(vm)
+        assert fleet.wait_in_force(1, 10) is not None
+        assert fleet.wait_listed(2) is not None
+        for vm in fleet.vms * 2:
+            assert status_of(get(vm)) == 200
+
+
 def test_calls_go_on_while_the_store_is_away():
     for net, outage in ((56, "busy"), (57, "reset"), (58, "silent")):
         with mesh(net) as fleet:
