Metrics: count the upstreams that get no requests, by cause

Change: gauge excluded_upstreams{cause}: leaving, announced, reported. UpstreamView::exclusion() holds the rule that acceptsRequests() had.

--- a/src/plugins/http/outboundcalls.cpp
+++ b/src/plugins/http/outboundcalls.cpp
@@ -451,6 +451,13 @@
   this->NodeMetrics.set(
       Metric::EjectedUpstreams, "",
       static_cast<double>(this->UpstreamRouter.ejectedCount(Now)));
+  const auto Counts = this->UpstreamRouter.countByExclusion();
+  for (const Exclusion Cause :
+       {Exclusion::ListedAsLeaving, Exclusion::AnnouncedState,
+        Exclusion::ReportedState})
+    this->NodeMetrics.set(
+        Metric::ExcludedUpstreams, exclusionName(Cause),
+        static_cast<double>(Counts.at(static_cast<size_t>(Cause))));
   for (const auto &[Service, Budget] : this->Budgets.all())
     this->NodeMetrics.set(Metric::RetryBudget, Service.str(), Budget.balance());
 }
--- a/src/plugins/metrics/metrics.cpp
+++ b/src/plugins/metrics/metrics.cpp
@@ -32,7 +32,7 @@
 };
 
 /** In the order of Metric, whose values are indices into this array. */
-constexpr std::array<MetricDefinition, 20> MetricDefinitions = {{
+constexpr std::array<MetricDefinition, 21> MetricDefinitions = {{
     {Metric::VersionNumber, "bluebellbarrow_version_number", "kind",
      MetricKind::Gauge, "Number of the version in force"},
     {Metric::VersionAppliedAt, "bluebellbarrow_version_applied_seconds", "kind",
@@ -68,6 +68,8 @@
      "Times that the process did not run for a while"},
     {Metric::EjectedUpstreams, "bluebellbarrow_ejected_upstreams", "",
      MetricKind::Gauge, "Upstreams left out for their failures"},
+    {Metric::ExcludedUpstreams, "bluebellbarrow_excluded_upstreams", "cause",
+     MetricKind::Gauge, "Upstreams that get no requests"},
     {Metric::VersionConflicts, "bluebellbarrow_version_conflicts_total", "",
      MetricKind::Counter, "Version numbers that were given twice"},
     {Metric::RequestTime, "bluebellbarrow_request_seconds", "outcome",
--- a/src/plugins/metrics/metrics.h
+++ b/src/plugins/metrics/metrics.h
@@ -29,6 +29,7 @@
   Malformed,
   Pauses,
   EjectedUpstreams,
+  ExcludedUpstreams,
   VersionConflicts,
   RequestTime,
   QueueTime,
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -184,4 +184,11 @@
       [Now](const auto &Entry) { return Entry.second.ejected(Now); }));
 }
 
+std::array<size_t, ExclusionCount> Router::countByExclusion() const {
+  std::array<size_t, ExclusionCount> Counts{};
+  for (const auto &[Id, View] : this->Views)
+    Counts.at(static_cast<size_t>(View.exclusion())) += 1;
+  return Counts;
+}
+
 } // namespace bluebellbarrow
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -7,6 +7,7 @@
 #include "tree/snapshot.h"
 #include "upstreamview.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -95,6 +96,9 @@
   /** Returns the number of ejected upstreams. */
   size_t ejectedCount(TimePoint Now) const;
 
+  /** Returns the number of upstreams by Exclusion. */
+  std::array<size_t, ExclusionCount> countByExclusion() const;
+
 private:
   UpstreamView *find(const UpstreamId &Id);
   UpstreamCandidate makeCandidate(const Vm &Upstream, const UpstreamView &View,
--- a/src/plugins/routing/upstreamview.cpp
+++ b/src/plugins/routing/upstreamview.cpp
@@ -65,6 +65,20 @@
 
 } // namespace
 
+const char *exclusionName(Exclusion Cause) {
+  switch (Cause) {
+  case Exclusion::None:
+    return "none";
+  case Exclusion::ListedAsLeaving:
+    return "leaving";
+  case Exclusion::AnnouncedState:
+    return "announced";
+  case Exclusion::ReportedState:
+    return "reported";
+  }
+  return "unknown";
+}
+
 UpstreamView::UpstreamView(const Vm &Upstream, bool KnownAtStart, TimePoint Now)
     : ListedVm(Upstream), FirstSeen(Now), LastSent(Now),
       KnownAtStart(KnownAtStart) {}
@@ -138,13 +152,15 @@
       Now + std::min<Duration>(BaseDuration * (1 << Doublings), MaxEjection);
 }
 
-bool UpstreamView::acceptsRequests() const {
+Exclusion UpstreamView::exclusion() const {
+  if (this->ListedVm.Leaving)
+    return Exclusion::ListedAsLeaving;
+  if (this->HasAnnouncement && this->Announcement.State != MemberState::Serving)
+    return Exclusion::AnnouncedState;
   if (this->HasReport && this->LastReport.State != MemberState::Serving &&
       this->LastReport.State != MemberState::Starting)
-    return false;
-  if (this->HasAnnouncement && this->Announcement.State != MemberState::Serving)
-    return false;
-  return !this->ListedVm.Leaving;
+    return Exclusion::ReportedState;
+  return Exclusion::None;
 }
 
 double UpstreamView::slots(const Policy &RoutePolicy) const {
--- a/src/plugins/routing/upstreamview.h
+++ b/src/plugins/routing/upstreamview.h
@@ -34,6 +34,25 @@
   Abandoned,
 };
 
+/** Why an upstream gets no requests at all. */
+enum class Exclusion {
+  None,
+
+  /** The platform lists its target as leaving. */
+  ListedAsLeaving,
+
+  /** Its node has announced that it does not serve. */
+  AnnouncedState,
+
+  /** The last load report of its node says that it does not serve. */
+  ReportedState,
+};
+
+inline constexpr size_t ExclusionCount = 4;
+
+/** Returns the name of \a Cause for metrics. */
+const char *exclusionName(Exclusion Cause);
+
 /**
  * What this node has observed of one upstream: the load that its node reports,
  * the requests sent since, its speed, and the outcomes of its calls.
@@ -71,8 +90,10 @@
    */
   void onServiceTime(Duration ServiceTime, Duration RouteMean, bool IsMean);
 
-  /** Returns true unless the upstream is known to refuse new requests. */
-  bool acceptsRequests() const;
+  /** Returns why the upstream is known to refuse new requests. */
+  Exclusion exclusion() const;
+
+  bool acceptsRequests() const { return this->exclusion() == Exclusion::None; }
 
   /** Sets whether its node is unresponsive. */
   void setUnresponsive(bool On) { this->Unresponsive = On; }
