UpstreamView: a load report ends with the process that sent it

Cause: a stopping node drains; the replies to its last running requests carry a report with the state "draining". acceptsRequests() left the upstream out for as long as that report was the last one, and no other can come, since reports come with replies to requests. Neither the announcement of the node's new incarnation nor a new start of the target under its id ended it.

Change: a reported state holds for 1 s at most and until the next announcement (announcements are repeated until they arrive; a report is not). A new incarnation of the node and a new start of the target end load, failures and ejections of the one before; the target's warm-up counts from its own start.

--- a/src/plugins/http/outboundcalls.cpp
+++ b/src/plugins/http/outboundcalls.cpp
@@ -451,7 +451,7 @@
   this->NodeMetrics.set(
       Metric::EjectedUpstreams, "",
       static_cast<double>(this->UpstreamRouter.ejectedCount(Now)));
-  const auto Counts = this->UpstreamRouter.countByExclusion();
+  const auto Counts = this->UpstreamRouter.countByExclusion(Now);
   for (const Exclusion Cause :
        {Exclusion::ListedAsLeaving, Exclusion::AnnouncedState,
         Exclusion::ReportedState})
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -39,7 +39,7 @@
       const auto [Position, Inserted] =
           this->Views.try_emplace(Upstream.id(), Upstream, IsFirst, Now);
       if (!Inserted)
-        Position->second.update(Upstream);
+        Position->second.update(Upstream, Now);
     }
   std::erase_if(this->Views, [&Listed](const auto &Entry) {
     return !Listed.contains(Entry.first) && Entry.second.inFlight() == 0;
@@ -109,7 +109,7 @@
   for (const Vm &Upstream : this->currentUpstreams(*Request.Service)) {
     const UpstreamView *View = this->find(Upstream.id());
     if (View == nullptr || contains(Excluded, Upstream.id()) ||
-        !View->acceptsRequests())
+        !View->acceptsRequests(Now))
       continue;
     std::vector<UpstreamCandidate> &Group =
         View->ejected(Now) ? Ejected : Candidates;
@@ -184,10 +184,11 @@
       [Now](const auto &Entry) { return Entry.second.ejected(Now); }));
 }
 
-std::array<size_t, ExclusionCount> Router::countByExclusion() const {
+std::array<size_t, ExclusionCount>
+Router::countByExclusion(TimePoint Now) const {
   std::array<size_t, ExclusionCount> Counts{};
   for (const auto &[Id, View] : this->Views)
-    Counts.at(static_cast<size_t>(View.exclusion())) += 1;
+    Counts.at(static_cast<size_t>(View.exclusion(Now))) += 1;
   return Counts;
 }
 
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -97,7 +97,7 @@
   size_t ejectedCount(TimePoint Now) const;
 
   /** Returns the number of upstreams by Exclusion. */
-  std::array<size_t, ExclusionCount> countByExclusion() const;
+  std::array<size_t, ExclusionCount> countByExclusion(TimePoint Now) const;
 
 private:
   UpstreamView *find(const UpstreamId &Id);
--- a/src/plugins/routing/upstreamview.cpp
+++ b/src/plugins/routing/upstreamview.cpp
@@ -35,6 +35,12 @@
 /** Upper limit of one sample of that ratio. */
 constexpr double MaxServiceTimeRatio = 10;
 
+/**
+ * Time for which a reported state excludes an upstream. Announcements carry the
+ * state reliably; a report only bridges the time until one arrives.
+ */
+constexpr Duration ReportedStateLifetime = seconds(1);
+
 /** Age at which a load report and the mean of all reports weigh the same. */
 constexpr Duration LoadHalfLife = milliseconds(500);
 
@@ -94,6 +100,21 @@
   this->LastReportTime = Now;
   this->HasReport = true;
   this->SentSinceReport = 0;
+  const bool Serves = Report.State == MemberState::Serving ||
+                      Report.State == MemberState::Starting;
+  this->ReportedStateUntil = Serves ? TimePoint() : Now + ReportedStateLifetime;
+}
+
+void UpstreamView::update(const Vm &Upstream, TimePoint Now) {
+  const bool HasRestarted =
+      Upstream.TargetStartUnixMillis != this->ListedVm.TargetStartUnixMillis;
+  this->ListedVm = Upstream;
+  if (!HasRestarted)
+    return;
+  this->FirstSeen = Now;
+  this->ErrorRate = 0;
+  this->forgetFailures();
+  this->forgetReports();
 }
 
 void UpstreamView::onAnnouncement(const MemberAnnouncement &Received) {
@@ -102,9 +123,10 @@
     return;
   if (this->HasAnnouncement &&
       Received.Incarnation > this->Announcement.Incarnation) {
-    this->ConsecutiveFailures = 0;
-    this->EjectedUntil = TimePoint();
+    this->forgetFailures();
+    this->forgetReports();
   }
+  this->ReportedStateUntil = TimePoint();
   this->Announcement = Received;
   this->HasAnnouncement = true;
 }
@@ -145,6 +167,21 @@
   this->ServiceTimeRatio += Weight * (Ratio - this->ServiceTimeRatio);
 }
 
+void UpstreamView::forgetReports() {
+  this->LastReport = LoadReport();
+  this->HasReport = false;
+  this->SentSinceReport = 0;
+  this->MeanOutstanding = 0;
+  this->MeanWaitMicros.fill(0);
+  this->ReportedStateUntil = TimePoint();
+}
+
+void UpstreamView::forgetFailures() {
+  this->ConsecutiveFailures = 0;
+  this->Ejections = 0;
+  this->EjectedUntil = TimePoint();
+}
+
 void UpstreamView::eject(Duration BaseDuration, TimePoint Now) {
   const int Doublings = std::min(this->Ejections, MaxEjectionDoublings);
   this->Ejections += 1;
@@ -152,13 +189,12 @@
       Now + std::min<Duration>(BaseDuration * (1 << Doublings), MaxEjection);
 }
 
-Exclusion UpstreamView::exclusion() const {
+Exclusion UpstreamView::exclusion(TimePoint Now) const {
   if (this->ListedVm.Leaving)
     return Exclusion::ListedAsLeaving;
   if (this->HasAnnouncement && this->Announcement.State != MemberState::Serving)
     return Exclusion::AnnouncedState;
-  if (this->HasReport && this->LastReport.State != MemberState::Serving &&
-      this->LastReport.State != MemberState::Starting)
+  if (Now < this->ReportedStateUntil)
     return Exclusion::ReportedState;
   return Exclusion::None;
 }
--- a/src/plugins/routing/upstreamview.h
+++ b/src/plugins/routing/upstreamview.h
@@ -44,7 +44,7 @@
   /** Its node has announced that it does not serve. */
   AnnouncedState,
 
-  /** The last load report of its node says that it does not serve. */
+  /** A load report of its node has just said that it does not serve. */
   ReportedState,
 };
 
@@ -67,15 +67,21 @@
    */
   UpstreamView(const Vm &Upstream, bool KnownAtStart, TimePoint Now);
 
-  /** Applies the upstream's entry in a new VM list. */
-  void update(const Vm &Upstream) { this->ListedVm = Upstream; }
+  /**
+   * Applies the upstream's entry in a new VM list. If its target has started
+   * again, what was observed of the earlier process is forgotten.
+   */
+  void update(const Vm &Upstream, TimePoint Now);
 
   const Vm &vm() const { return this->ListedVm; }
 
   /** Applies a load report of the upstream's node. */
   void onLoad(const LoadReport &Report, TimePoint Now);
 
-  /** Applies an announcement of the upstream's node; ignores older ones. */
+  /**
+   * Applies an announcement of the upstream's node; ignores older ones. One of
+   * a node that has started again ends the effect of its earlier reports.
+   */
   void onAnnouncement(const MemberAnnouncement &Received);
 
   void onSent(TimePoint Now);
@@ -91,9 +97,11 @@
   void onServiceTime(Duration ServiceTime, Duration RouteMean, bool IsMean);
 
   /** Returns why the upstream is known to refuse new requests. */
-  Exclusion exclusion() const;
+  Exclusion exclusion(TimePoint Now) const;
 
-  bool acceptsRequests() const { return this->exclusion() == Exclusion::None; }
+  bool acceptsRequests(TimePoint Now) const {
+    return this->exclusion(Now) == Exclusion::None;
+  }
 
   /** Sets whether its node is unresponsive. */
   void setUnresponsive(bool On) { this->Unresponsive = On; }
@@ -131,6 +139,8 @@
 
 private:
   void eject(Duration BaseDuration, TimePoint Now);
+  void forgetReports();
+  void forgetFailures();
   double slots(const Policy &RoutePolicy) const;
   double outstandingRequests(TimePoint Now) const;
 
@@ -143,6 +153,9 @@
   LoadReport LastReport;
   TimePoint LastReportTime;
 
+  /** Until then the state in the last report excludes the upstream. */
+  TimePoint ReportedStateUntil;
+
   /** Moving mean of the running and queued requests in load reports. */
   double MeanOutstanding = 0;
 
--- a/tests/process/platformpath_test.py
+++ b/tests/process/platformpath_test.py
@@ -401,6 +401,34 @@
         assert set(statuses) <= {0, 200, 503}, set(statuses)
 
 
+# Guards against a last load report, "draining", that outlives the node which
+# sent it: other nodes never again used the upstream of a restarted node.
+def test_the_upstream_of_a_restarted_node_is_used_again():
+    with mesh(69, [("north", "stock"), ("south", "shop")]) as fleet:
+        caller, restarted = fleet.vms
+        fleet.knobs(restarted, work_ms=1900)
+        responses = []
+
+        def call(number):
+            responses.append(get(caller, request_id=f"long-{number}"))
+        threads = [threading.Thread(target=call, args=(number,))
+                   for number in range(8)]
+        # The calls of the last 1.9 s before the node drains end after it.
+        restarted.node.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.start()
+            time.sleep(0.28)
+        assert restarted.node.wait(timeout=6) == 0
+        for thread in threads:
+            thread.join()
+        assert 200 in [status_of(response) for response in responses]
+        fleet.knobs(restarted, work_ms=20)
+        fleet.start_node(restarted)
+        assert fleet.wait_in_force(1, 5) is not None
+        assert wait_until(lambda: status_of(get(caller)) == 200,
+                          APPLY_LIMIT) is not None
+
+
 def test_wrong_target_at_the_address_runs_nothing():
     with mesh(64, [("north", "shop"), ("south", "stock")]) as fleet:
         vm = fleet.vms[0]
