Settings tree: hold every configuration that the platform accepts

Cause: limits of the INI branches that the platform's format does not have: keys of 150 or 180 bytes, names of 63 letters, digits, '-', '_', '.', priorities to 100, attempts to 100, timeouts to ten minutes, header timeouts to one; and from libinih, fixed when it is compiled, lines of 199 bytes and sections of 49, which it cuts without an error. Node settings had the same limits for names.

Ruled out: reading and dissemination (the refusal is each node's own), and a refused version blocking later ones (one without the route came into force).

The INI parser is our own now, 100 lines, since the library can't be told to accept longer lines; libinih is not needed any more. An indented line is no continuation (it was refused as a duplicate).

A line is still refused above a bound (1 MB), a retry-budget above 1000; an unclosed section is reported at its own line, no longer at the next one.

--- a/src/bluebellbarrow/treecommands.cpp
+++ b/src/bluebellbarrow/treecommands.cpp
@@ -2,6 +2,7 @@
 
 #include "exitcodes.h"
 #include "kernel/hashing.h"
+#include "tree/branchpath.h"
 #include "tree/manifest.h"
 #include "tree/settingstree.h"
 
@@ -157,7 +158,7 @@
   const auto Tree = loadTree(Directory);
   if (Tree == nullptr)
     return ExitInvalidInput;
-  if (!Tree->branches().contains("service/" + Service.str())) {
+  if (!Tree->branches().contains(servicePath(Service))) {
     std::cerr << "explain: unknown service '" << Service.str() << "'\n";
     return ExitInvalidInput;
   }
--- a/src/kernel/inifile.cpp
+++ b/src/kernel/inifile.cpp
@@ -1,9 +1,7 @@
 #include "inifile.h"
 
 #include <algorithm>
-#include <cstring>
 #include <fstream>
-#include <ini.h>
 #include <optional>
 #include <sstream>
 
@@ -11,98 +9,128 @@
 
 namespace {
 
-/** State of one call of parseIni(), passed to the callbacks of inih. */
-struct ParseState {
-  IniFile File;
+/** Longest line of a file, in bytes; a bound against files of other kinds. */
+constexpr size_t MaxLineBytes = size_t{1024} * 1024;
+
+constexpr std::string_view ByteOrderMark = "\xef\xbb\xbf";
+constexpr std::string_view Whitespace = " \t\r\v\f";
+constexpr std::string_view Separators = "=:";
+constexpr std::string_view LineCommentMarks = ";#";
+constexpr char InlineCommentMark = ';';
+
+std::string_view trim(std::string_view Text) {
+  const size_t Begin = Text.find_first_not_of(Whitespace);
+  if (Begin == std::string_view::npos)
+    return {};
+  const size_t End = Text.find_last_not_of(Whitespace);
+  return Text.substr(Begin, End - Begin + 1);
+}
 
-  /** Text that has not been passed to inih yet. */
-  std::string_view Remaining;
+/** Removes a comment that follows white space. */
+std::string_view withoutComment(std::string_view Text) {
+  for (size_t Mark = Text.find(InlineCommentMark);
+       Mark != std::string_view::npos;
+       Mark = Text.find(InlineCommentMark, Mark + 1))
+    if (Mark > 0 && Whitespace.find(Text[Mark - 1]) != std::string_view::npos)
+      return Text.substr(0, Mark);
+  return Text;
+}
 
-  /** Number of the line that is being parsed, from 1. */
-  int LineNumber = 0;
+/** Parses a file line by line and keeps the first error. */
+class IniParser {
+public:
+  explicit IniParser(const std::string &Name) { this->File.Name = Name; }
+
+  void parseLine(std::string_view Line) {
+    this->LineNumber += 1;
+    if (this->LineNumber == 1 && Line.starts_with(ByteOrderMark))
+      Line.remove_prefix(ByteOrderMark.size());
+    if (Line.size() > MaxLineBytes)
+      return this->fail(Errc::TooLarge, "line is longer than " +
+                                            std::to_string(MaxLineBytes) +
+                                            " bytes");
+    if (Line.find('\0') != std::string_view::npos)
+      return this->fail(Errc::BadSyntax, "line holds a zero byte");
+    Line = trim(Line);
+    if (Line.empty() ||
+        LineCommentMarks.find(Line.front()) != std::string_view::npos)
+      return;
+    if (Line.front() == '[')
+      this->parseSection(Line);
+    else
+      this->parseEntry(Line);
+  }
 
-  /** Index of the first entry of the current section. */
-  size_t SectionStart = 0;
+  bool hasFailed() const { return this->FirstError.has_value(); }
 
-  std::optional<Error> FirstError;
-};
+  /** Returns the file or the first error; to be called once. */
+  Result<IniFile> finish() {
+    if (this->FirstError)
+      return *this->FirstError;
+    return std::move(this->File);
+  }
 
-/** Records the error, unless there is an earlier one. */
-void recordError(ParseState &State, Errc Code, const std::string &Detail) {
-  if (!State.FirstError)
-    State.FirstError =
-        makeLineError(Code, State.File.Name, State.LineNumber, Detail);
-}
+private:
+  void fail(Errc Code, const std::string &Detail) {
+    if (!this->FirstError)
+      this->FirstError =
+          makeLineError(Code, this->File.Name, this->LineNumber, Detail);
+  }
 
-/** Records a section header; inih does not report sections without keys. */
-void recordSection(ParseState &State, std::string_view Line) {
-  const size_t Start = Line.find_first_not_of(" \t");
-  if (Start == std::string_view::npos || Line[Start] != '[')
-    return;
-  const size_t End = Line.find(']', Start);
-  if (End == std::string_view::npos)
-    return;
-
-  std::string Section(Line.substr(Start + 1, End - Start - 1));
-  auto &Sections = State.File.Sections;
-  if (std::find(Sections.begin(), Sections.end(), Section) != Sections.end())
-    recordError(State, Errc::Duplicate,
-                "section [" + Section + "] stands twice");
-  Sections.push_back(std::move(Section));
-}
+  void parseSection(std::string_view Line) {
+    const size_t End = Line.find(']');
+    if (End == std::string_view::npos)
+      return this->failSyntax();
+    std::string Section(Line.substr(1, End - 1));
+    std::vector<std::string> &Sections = this->File.Sections;
+    if (std::find(Sections.begin(), Sections.end(), Section) != Sections.end())
+      this->fail(Errc::Duplicate, "section [" + Section + "] stands twice");
+    Sections.push_back(std::move(Section));
+    this->SectionStart = this->File.Entries.size();
+  }
 
-/** Passes the next line to inih; counts lines and records sections. */
-char *readLine(char *Buffer, int Size, void *Stream) {
-  auto &State = *static_cast<ParseState *>(Stream);
-  if (State.Remaining.empty())
-    return nullptr;
-
-  const size_t End = State.Remaining.find('\n');
-  const std::string_view Line = State.Remaining.substr(0, End);
-  State.Remaining.remove_prefix(
-      End == std::string_view::npos ? State.Remaining.size() : End + 1);
-  State.LineNumber += 1;
-  if (Line.size() + 1 > static_cast<size_t>(Size)) {
-    recordError(State, Errc::TooLarge,
-                "line is longer than " + std::to_string(Size - 1) + " bytes");
-    return nullptr;
+  void parseEntry(std::string_view Line) {
+    const size_t Separator = Line.find_first_of(Separators);
+    if (Separator == std::string_view::npos)
+      return this->failSyntax();
+    IniEntry Entry{
+        .Section = {},
+        .Key = std::string(trim(Line.substr(0, Separator))),
+        .Value = std::string(trim(withoutComment(Line.substr(Separator + 1)))),
+        .Line = this->LineNumber};
+    if (this->File.Sections.empty())
+      return this->fail(Errc::BadSyntax,
+                        "key '" + Entry.Key + "' is in no section");
+    Entry.Section = this->File.Sections.back();
+    if (this->isInCurrentSection(Entry.Key))
+      this->fail(Errc::Duplicate, "key '" + Entry.Key + "' stands twice in [" +
+                                      Entry.Section + "]");
+    this->File.Entries.push_back(std::move(Entry));
   }
-  if (Line.find('\0') != std::string_view::npos) {
-    recordError(State, Errc::BadSyntax, "line holds a zero byte");
-    return nullptr;
+
+  /** Section names are unique, so a key can only be repeated in its own. */
+  bool isInCurrentSection(const std::string &Key) const {
+    const std::vector<IniEntry> &Entries = this->File.Entries;
+    return std::any_of(
+        Entries.begin() + static_cast<ptrdiff_t>(this->SectionStart),
+        Entries.end(),
+        [&Key](const IniEntry &Other) { return Other.Key == Key; });
   }
-  recordSection(State, Line);
-  std::memcpy(Buffer, Line.data(), Line.size());
-  Buffer[Line.size()] = '\0';
-  return Buffer;
-}
 
-/** Called by inih for each key; returns 1, which means success. */
-int addEntry(void *User, const char *Section, const char *Key,
-             const char *Value) {
-  auto &State = *static_cast<ParseState *>(User);
-  IniEntry Entry{
-      .Section = Section, .Key = Key, .Value = Value, .Line = State.LineNumber};
-  if (Entry.Section.empty())
-    recordError(State, Errc::BadSyntax,
-                "key '" + Entry.Key + "' is in no section");
-  std::vector<IniEntry> &Entries = State.File.Entries;
-  if (Entries.empty() || Entries.back().Section != Entry.Section)
-    State.SectionStart = Entries.size();
-  // Section names are unique, so a duplicate can only be among the entries of
-  // the current section.
-  const bool IsDuplicate =
-      std::any_of(Entries.begin() + static_cast<ptrdiff_t>(State.SectionStart),
-                  Entries.end(), [&Entry](const IniEntry &Other) {
-                    return Other.Key == Entry.Key;
-                  });
-  if (IsDuplicate)
-    recordError(State, Errc::Duplicate,
-                "key '" + Entry.Key + "' stands twice in [" + Entry.Section +
-                    "]");
-  State.File.Entries.push_back(std::move(Entry));
-  return 1;
-}
+  void failSyntax() {
+    this->fail(Errc::BadSyntax, "expected 'key = value' or '[section]'");
+  }
+
+  IniFile File;
+
+  /** Number of the line that is being parsed, from 1. */
+  int LineNumber = 0;
+
+  /** Index of the first entry of the current section. */
+  size_t SectionStart = 0;
+
+  std::optional<Error> FirstError;
+};
 
 } // namespace
 
@@ -112,17 +140,13 @@
 }
 
 Result<IniFile> parseIni(const std::string &Name, std::string_view Text) {
-  ParseState State{.File = {.Name = Name, .Sections = {}, .Entries = {}},
-                   .Remaining = Text,
-                   .LineNumber = 0,
-                   .FirstError = {}};
-  const int ErrorLine = ini_parse_stream(readLine, &State, addEntry, &State);
-  if (State.FirstError)
-    return *State.FirstError;
-  if (ErrorLine > 0)
-    return makeLineError(Errc::BadSyntax, Name, ErrorLine,
-                         "expected 'key = value' or '[section]'");
-  return std::move(State.File);
+  IniParser Parser(Name);
+  while (!Text.empty() && !Parser.hasFailed()) {
+    const size_t End = Text.find('\n');
+    Parser.parseLine(Text.substr(0, End));
+    Text.remove_prefix(End == std::string_view::npos ? Text.size() : End + 1);
+  }
+  return Parser.finish();
 }
 
 Result<std::string> readFile(const std::string &Path) {
--- a/src/kernel/nodesettings.cpp
+++ b/src/kernel/nodesettings.cpp
@@ -17,12 +17,15 @@
 /** One second in microseconds, the base unit of KeyType::Duration. */
 constexpr double Second = 1e6;
 
+constexpr double Day = 24 * 3600 * Second;
+
 const std::array<KeySpec, 29> Keys = {{
-    {"node", "mesh", KeyType::Text, 1, 63, "", "name of the mesh"},
-    {"node", "name", KeyType::Text, 1, 63, "", "name of the VM"},
+    {"node", "mesh", KeyType::Text, 1, MaxTextBytes, "", "name of the mesh"},
+    {"node", "name", KeyType::Text, 1, MaxTextBytes, "", "name of the VM"},
     {"node", "address", KeyType::Text, 1, 63, "", "IP address of the VM"},
-    {"node", "domain", KeyType::Text, 1, 63, "", "failure domain of the VM"},
-    {"node", "service", KeyType::Text, 1, 63, "",
+    {"node", "domain", KeyType::Text, 1, MaxTextBytes, "",
+     "failure domain of the VM"},
+    {"node", "service", KeyType::Text, 1, MaxTextBytes, "",
      "service that the target provides"},
     {"node", "threads", KeyType::Integer, 1, 3, "1",
      "1: all tasks share one thread; 3: each task has its own"},
@@ -34,9 +37,9 @@
     {"target", "address", KeyType::Text, 1, 63, "127.0.0.1",
      "IP address, with or without ':PORT'"},
     {"target", "port", KeyType::Integer, 1, MaxPort, "8080", "TCP port"},
-    {"target", "health", KeyType::Text, 1, 150, "/health",
+    {"target", "health", KeyType::Text, 1, MaxTextBytes, "/health",
      "path of the health probe"},
-    {"target", "forward-headers", KeyType::Text, 0, 190, "",
+    {"target", "forward-headers", KeyType::Text, 0, MaxTextBytes, "",
      "no effect: all headers are forwarded"},
     {"listen", "bind-address", KeyType::Text, 0, 63, "",
      "IP address that the peer and control ports are bound to, if the VM's "
@@ -53,18 +56,18 @@
      "IP address of the admin interface"},
     {"listen", "ready", KeyType::Text, 0, 63, "",
      "IP:PORT that also answers /ready; empty for none"},
-    {"machine", "core-share", KeyType::Number, 0.001, 64, "1",
+    {"machine", "core-share", KeyType::Number, 0.001, 1e6, "1",
      "CPU cores that the process may use, such as 0.5"},
-    {"machine", "link", KeyType::Number, 0.01, 1e6, "1000",
+    {"machine", "link", KeyType::Number, 0.01, 1e9, "1000",
      "bandwidth of the VM's network link in Mbit/s"},
-    {"start", "seeds", KeyType::Text, 0, 190, "",
+    {"start", "seeds", KeyType::Text, 0, MaxTextBytes, "",
      "IP addresses of nodes to query at the start, separated by commas"},
     {"start", "silence", KeyType::Duration, 0, 60 * Second, "1 s",
      "time without any reply from peers after which a starting node uses the "
      "platform"},
     {"stop", "leave-time", KeyType::Duration, 0, 600 * Second, "30 s",
      "time for which callers may still come"},
-    {"stop", "limit", KeyType::Duration, Second, 3600 * Second, "90 s",
+    {"stop", "limit", KeyType::Duration, 0, Day, "90 s",
      "time after which a shutdown no longer waits for open requests"},
     {"log", "level", KeyType::Text, 1, 10, "info",
      "debug, info, warning or error"},
--- a/src/kernel/schema.cpp
+++ b/src/kernel/schema.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstring>
 #include <span>
 
@@ -64,8 +65,7 @@
   if (Found == Units.end())
     return badValue(Spec, Text);
   const double Value = Number * Found->Factor;
-  if (Spec.Type == KeyType::Integer &&
-      Value != static_cast<double>(static_cast<int64_t>(Value)))
+  if (Spec.Type == KeyType::Integer && Value != std::floor(Value))
     return badValue(Spec, Text);
   if (!(Value >= Spec.Min && Value <= Spec.Max))
     return makeError(Errc::OutOfRange, Spec.Key, "", "'" + Text + "'");
--- a/src/kernel/schema.h
+++ b/src/kernel/schema.h
@@ -15,6 +15,9 @@
 
 namespace bluebellbarrow {
 
+/** Longest value of a Text key that needs no shorter one, in bytes. */
+inline constexpr double MaxTextBytes = 1024 * 1024;
+
 /** Type of a key: determines the syntax and the units of its value. */
 enum class KeyType { Text, Bool, Integer, Number, Duration, Size };
 
--- a/src/tree/branch.cpp
+++ b/src/tree/branch.cpp
@@ -1,31 +1,33 @@
 #include "branch.h"
 
+#include "branchpath.h"
 #include "policy.h"
 
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <optional>
 #include <sstream>
 
 namespace bluebellbarrow {
 
 namespace {
 
-constexpr size_t MaxNameLength = 63;
-
 /** Keys that are not fields of a policy, a spread policy or limits. */
 const std::array<KeySpec, 7> StructureKeys = {{
-    {"mesh", "name", KeyType::Text, 1, MaxNameLength, "", "name of the mesh"},
-    {"service", "about", KeyType::Text, 0, 150, "", "what the service is for"},
-    {"route", "match", KeyType::Text, 1, 150, "",
+    {"mesh", "name", KeyType::Text, 1, MaxTextBytes, "", "name of the mesh"},
+    {"service", "about", KeyType::Text, 0, MaxTextBytes, "",
+     "what the service is for"},
+    {"route", "match", KeyType::Text, 1, MaxTextBytes, "",
      "method and path prefix; '*' for any method"},
-    {"route", "host", KeyType::Text, 1, 150, "",
+    {"route", "host", KeyType::Text, 1, MaxTextBytes, "",
      "host name that requests must have"},
-    {"route", "split", KeyType::Text, 1, 180, "",
+    {"route", "split", KeyType::Text, 1, MaxTextBytes, "",
      "services that share the requests, as 'NAME WEIGHT, NAME WEIGHT'"},
-    {"route", "calls", KeyType::Text, 0, 150, "",
+    {"route", "calls", KeyType::Text, 0, MaxTextBytes, "",
      "services that the route's target calls"},
-    {"place", "about", KeyType::Text, 0, 150, "", "what the failure domain is"},
+    {"place", "about", KeyType::Text, 0, MaxTextBytes, "",
+     "what the failure domain is"},
 }};
 
 struct SectionRule {
@@ -58,15 +60,6 @@
                      });
 }
 
-bool isName(const std::string &Text) {
-  const auto Allowed = [](unsigned char Character) {
-    return std::isalnum(Character) != 0 || Character == '-' ||
-           Character == '_' || Character == '.';
-  };
-  return !Text.empty() && Text.front() != '.' && Text.size() <= MaxNameLength &&
-         std::all_of(Text.begin(), Text.end(), Allowed);
-}
-
 std::vector<std::string> splitBy(const std::string &Text, char Separator) {
   std::vector<std::string> Parts;
   std::istringstream Stream(Text);
@@ -75,18 +68,30 @@
   return Parts;
 }
 
+/** Decodes the names in \a Path; nullopt if one of them is malformed. */
+std::optional<std::vector<std::string>> decodePath(const std::string &Path) {
+  std::vector<std::string> Names;
+  for (const std::string &Encoded : splitBy(Path, '/')) {
+    std::optional<std::string> Name = decodeName(Encoded);
+    if (!Name)
+      return std::nullopt;
+    Names.push_back(std::move(*Name));
+  }
+  return Names;
+}
+
 /**
  * Sets the kind, domain and service of \a Parsed from its path. Returns false
  * if the path is invalid.
  */
 bool parsePath(Branch &Parsed) {
-  const std::vector<std::string> Names = splitBy(Parsed.Path, '/');
-  if (!std::all_of(Names.begin(), Names.end(), isName))
-    return false;
-  if (Parsed.Path == "mesh")
+  if (Parsed.Path == MeshPath)
     return true;
-  if (Names.size() < 2 || Names.size() > 3)
+  const std::optional<std::vector<std::string>> Decoded =
+      decodePath(Parsed.Path);
+  if (!Decoded || Decoded->size() < 2 || Decoded->size() > 3)
     return false;
+  const std::vector<std::string> &Names = *Decoded;
   if (Names[0] == "service") {
     Parsed.Kind =
         Names.size() == 2 ? BranchKind::Service : BranchKind::RouteGroup;
@@ -213,11 +218,12 @@
     std::istringstream Words(Part);
     std::string Name;
     WeightedService Weighted;
-    if (!(Words >> Name >> Weighted.Weight) || !isName(Name) ||
-        Weighted.Weight < 0)
+    Words >> Name >> Weighted.Weight;
+    const std::optional<std::string> Service = decodeName(Name);
+    if (!Words || !Service || Weighted.Weight < 0)
       return makeError(Errc::BadValue, "", "",
                        "'" + Part + "' is not 'SERVICE WEIGHT'");
-    Weighted.Service = ServiceName(Name);
+    Weighted.Service = ServiceName(*Service);
     Sum += Weighted.Weight;
     Route.WeightedServices.push_back(std::move(Weighted));
   }
@@ -230,10 +236,11 @@
                                   const IniEntry &Entry) {
   for (std::string Name : splitBy(Entry.Value, ',')) {
     std::erase(Name, ' ');
-    if (!isName(Name))
+    std::optional<std::string> Service = decodeName(Name);
+    if (!Service)
       return makeError(Errc::BadValue, "", "",
                        "'" + Name + "' is not a service name");
-    Route.Dependencies.emplace_back(Name);
+    Route.Dependencies.emplace_back(std::move(*Service));
   }
   return std::monostate();
 }
@@ -264,11 +271,12 @@
 
 /** Returns the route that the section of \a Entry names; adds it if missing. */
 Result<RouteDefinition *> routeOfEntry(Branch &Parsed, const IniEntry &Entry) {
-  const std::string Name = sectionName(Entry.Section);
-  if (!isName(Name))
+  const std::string Encoded = sectionName(Entry.Section);
+  const std::optional<std::string> Name = decodeName(Encoded);
+  if (!Name)
     return makeError(Errc::BadValue, "", "",
-                     "'" + Name + "' is not a route name");
-  return &findOrAddRoute(Parsed, Name);
+                     "'" + Encoded + "' is not a route name");
+  return &findOrAddRoute(Parsed, *Name);
 }
 
 /** Parses a key of a route that is not a policy key into \a Route. */
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -10,16 +10,23 @@
 constexpr double Millisecond = 1e3;
 constexpr double Second = 1e6;
 constexpr double Minute = 60e6;
+constexpr double Year = 365 * 24 * 60 * Minute;
 constexpr double Megabyte = 1048576;
 
+/** The largest priority that a message between nodes holds. */
+constexpr double MaxPriority = 255;
+
+/** Bound of counts that no resource of a node limits. */
+constexpr double MaxCount = 1e9;
+
 const std::array<FieldSpec<Policy>, 17> PolicyTable = {{
-    {{"policy", "deadline", KeyType::Duration, Millisecond, 10 * Minute, "2 s",
+    {{"policy", "deadline", KeyType::Duration, 1, Year, "2 s",
       "longest time that a call may take; callers may set a shorter one"},
      &Policy::Deadline},
-    {{"policy", "aim", KeyType::Duration, 0, 10 * Minute, "0 s",
+    {{"policy", "aim", KeyType::Duration, 0, Year, "0 s",
       "latency after which a response is worth less; 0 s for the deadline"},
      &Policy::LatencyObjective},
-    {{"policy", "priority", KeyType::Integer, 0, 100, "1",
+    {{"policy", "priority", KeyType::Integer, 0, MaxPriority, "1",
       "order among queued requests; 0 goes first"},
      &Policy::Priority},
     {{"policy", "slow-start", KeyType::Duration, 0, 10 * Minute, "10 s",
@@ -31,7 +38,7 @@
     {{"policy", "probe-period", KeyType::Duration, 0, Minute, "500 ms",
       "time between two health probes of the target; 0 s for none"},
      &Policy::ProbePeriod},
-    {{"policy", "retries", KeyType::Integer, 0, 100, "2",
+    {{"policy", "retries", KeyType::Integer, 0, MaxCount, "2",
       "further attempts after the first"},
      &Policy::Retries},
     {{"policy", "slots", KeyType::Integer, 1, 1000, "10",
@@ -43,10 +50,10 @@
     {{"policy", "max-body", KeyType::Size, 0, 1024 * Megabyte, "1 MB",
       "maximum size of a request or response body"},
      &Policy::MaxBodyBytes},
-    {{"policy", "retry-budget", KeyType::Number, 0, 1, "0.1",
+    {{"policy", "retry-budget", KeyType::Number, 0, 1000, "0.1",
       "retries allowed for each first attempt"},
      &Policy::RetryRatio},
-    {{"policy", "retry-burst", KeyType::Number, 0, 1000000, "1000",
+    {{"policy", "retry-burst", KeyType::Number, 0, MaxCount, "1000",
       "retries of the whole fleet beyond that share, in ten seconds"},
      &Policy::RetryBurst},
     {{"policy", "max-ejected", KeyType::Number, 0, 1, "0.5",
@@ -58,16 +65,16 @@
     {{"policy", "balance", KeyType::Text, 1, 32, "two-choices",
       "how an upstream is chosen"},
      &Policy::BalancerName},
-    {{"policy", "probe-path", KeyType::Text, 0, 150, "",
+    {{"policy", "probe-path", KeyType::Text, 0, MaxTextBytes, "",
       "health path of the target; empty for that of the node's settings"},
      &Policy::ProbePath},
-    {{"policy", "max-connections", KeyType::Integer, 1, 100000, "1000",
+    {{"policy", "max-connections", KeyType::Integer, 1, MaxCount, "1000",
       "connections that a target accepts from all callers together"},
      &Policy::MaxConnections},
 }};
 
 const std::array<FieldSpec<CallerLimits>, 6> LimitTable = {{
-    {{"limits", "max-header", KeyType::Size, 256, Megabyte, "16 KB",
+    {{"limits", "max-header", KeyType::Size, 1, 16 * Megabyte, "16 KB",
       "maximum size of a request header"},
      &CallerLimits::MaxHeaderBytes},
     {{"limits", "max-body", KeyType::Size, 0, 1024 * Megabyte, "8 MB",
@@ -79,11 +86,11 @@
     {{"limits", "max-pipelined", KeyType::Integer, 1, 1000, "16",
       "requests of one connection that may be open at the same time"},
      &CallerLimits::MaxPipelinedRequests},
-    {{"limits", "header-time", KeyType::Duration, 10 * Millisecond, Minute,
-      "10 s", "time in which the header of a request must arrive"},
+    {{"limits", "header-time", KeyType::Duration, 1, Year, "10 s",
+      "time in which the header of a request must arrive"},
      &CallerLimits::HeaderTimeout},
-    {{"limits", "idle-time", KeyType::Duration, 100 * Millisecond, 60 * Minute,
-      "75 s", "time without a byte after which a connection is closed"},
+    {{"limits", "idle-time", KeyType::Duration, 1, Year, "75 s",
+      "time without a byte after which a connection is closed"},
      &CallerLimits::IdleTimeout},
 }};
 
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -35,7 +35,8 @@
   int64_t Slots = 0;
   int64_t MaxQueueLength = 0;
   int64_t MaxBodyBytes = 0;
-  /** Retries allowed for each first attempt, from 0 to 1. */
+
+  /** Retries allowed for each first attempt. */
   double RetryRatio = 0;
 
   /** Retries of the whole fleet beyond RetryRatio, in ten seconds. */
--- a/src/tree/routecompiler.cpp
+++ b/src/tree/routecompiler.cpp
@@ -1,5 +1,7 @@
 #include "routecompiler.h"
 
+#include "branchpath.h"
+
 #include <algorithm>
 
 namespace bluebellbarrow {
@@ -19,11 +21,10 @@
                                      const Policy &Defaults) const {
   InheritedContext Inherited{
       .Domain = Domain, .Defaults = Defaults, .Services = Tree.services()};
-  const std::string DomainPath = "place/" + Domain.str();
-  Inherited.Branches = {Tree.find("mesh"), Tree.find(DomainPath)};
+  Inherited.Branches = {Tree.find(MeshPath), Tree.find(domainPath(Domain))};
   for (const ServiceName &Name : Inherited.Services) {
-    Inherited.Branches.push_back(Tree.find("service/" + Name.str()));
-    Inherited.Branches.push_back(Tree.find(DomainPath + "/" + Name.str()));
+    Inherited.Branches.push_back(Tree.find(servicePath(Name)));
+    Inherited.Branches.push_back(Tree.find(domainServicePath(Domain, Name)));
   }
   return Inherited;
 }
--- a/src/tree/routecompiler.h
+++ b/src/tree/routecompiler.h
@@ -11,8 +11,6 @@
 
 namespace bluebellbarrow {
 
-using SettingsTreePtr = std::shared_ptr<const SettingsTree>;
-
 /**
  * Compiles the routes of successive settings trees for one failure domain.
  * Branches that a tree shares with the previous one are not compiled again
--- a/src/tree/settingstree.cpp
+++ b/src/tree/settingstree.cpp
@@ -1,5 +1,6 @@
 #include "settingstree.h"
 
+#include "branchpath.h"
 #include "kernel/hashing.h"
 #include "kernel/inifile.h"
 #include "routetable.h"
@@ -83,7 +84,7 @@
 }
 
 const std::string &SettingsTree::meshName() const {
-  return this->Branches.at("mesh")->MeshName;
+  return this->Branches.at(MeshPath)->MeshName;
 }
 
 const Branch *SettingsTree::find(const std::string &Path) const {
@@ -96,6 +97,8 @@
   for (const auto &[Path, Source] : this->Branches)
     if (Source->Kind == BranchKind::Service)
       Names.push_back(Source->Service);
+  // Paths hold encoded names, whose order may differ.
+  std::sort(Names.begin(), Names.end());
   return Names;
 }
 
@@ -141,12 +144,10 @@
 SettingsTree::collectLayers(const FailureDomain &Domain,
                             const ServiceName &Service,
                             const RouteName &Route) const {
-  const std::string DomainPath = "place/" + Domain.str();
-  const std::string DomainServicePath = DomainPath + "/" + Service.str();
+  const std::string DomainServicePath = domainServicePath(Domain, Service);
   std::vector<Layer> Layers;
-  for (const std::string &Path :
-       {std::string("mesh"), DomainPath, "service/" + Service.str(),
-        DomainServicePath})
+  for (const std::string &Path : {std::string(MeshPath), domainPath(Domain),
+                                  servicePath(Service), DomainServicePath})
     if (const Branch *Source = this->find(Path))
       Layers.push_back({Path, &Source->PolicyOverrides});
   if (const OwnedRoute *Found = this->findRoute(Service, Route))
@@ -186,7 +187,7 @@
   };
   Apply(Route.PolicyOverrides);
   const Branch *DomainServiceBranch =
-      this->find("place/" + Domain.str() + "/" + Service.str());
+      this->find(domainServicePath(Domain, Service));
   const RouteDefinition *DomainRoute =
       DomainServiceBranch == nullptr
           ? nullptr
@@ -199,7 +200,7 @@
 SpreadPolicy SettingsTree::spreadPolicy(const FailureDomain &Domain,
                                         const SpreadPolicy &Defaults) const {
   SpreadPolicy Effective = Defaults;
-  for (const std::string &Path : {std::string("mesh"), "place/" + Domain.str()})
+  for (const std::string &Path : {std::string(MeshPath), domainPath(Domain)})
     if (const Branch *Source = this->find(Path))
       for (const FieldOverride &Override : Source->SpreadOverrides)
         setField(spreadFields()[Override.Field], Override.Text,
@@ -209,7 +210,7 @@
 
 CallerLimits SettingsTree::callerLimits(const FailureDomain &Domain) const {
   CallerLimits Effective = defaultCallerLimits();
-  for (const std::string &Path : {std::string("mesh"), "place/" + Domain.str()})
+  for (const std::string &Path : {std::string(MeshPath), domainPath(Domain)})
     if (const Branch *Source = this->find(Path))
       for (const FieldOverride &Override : Source->LimitOverrides)
         setField(limitFields()[Override.Field], Override.Text,
@@ -235,17 +236,17 @@
 }
 
 void SettingsTree::checkParents(std::vector<Error> &Faults) const {
-  if (this->find("mesh") == nullptr)
+  if (this->find(MeshPath) == nullptr)
     Faults.push_back(makeError(Errc::MissingParent, "mesh.ini", "",
                                "the tree has no branch 'mesh'"));
   for (const auto &[Path, SourcePtr] : this->Branches) {
     const Branch &Source = *SourcePtr;
     std::vector<std::string> Parents;
     if (Source.Kind == BranchKind::DomainService)
-      Parents.push_back("place/" + Source.Domain.str());
+      Parents.push_back(domainPath(Source.Domain));
     if (Source.Kind == BranchKind::DomainService ||
         Source.Kind == BranchKind::RouteGroup)
-      Parents.push_back("service/" + Source.Service.str());
+      Parents.push_back(servicePath(Source.Service));
     for (const std::string &Parent : Parents)
       if (this->find(Parent) == nullptr)
         Faults.push_back(makeError(Errc::MissingParent, fileName(Source), "",
@@ -257,7 +258,7 @@
                                    const RouteDefinition &Route,
                                    std::vector<Error> &Faults) const {
   const auto Check = [&](const char *Key, const ServiceName &Name) {
-    if (this->find("service/" + Name.str()) == nullptr)
+    if (this->find(servicePath(Name)) == nullptr)
       Faults.push_back(makeLineError(
           Errc::UnknownService, fileName(Owner), Route.Line,
           std::string("key '") + Key + "': '" + Name.str() + "'"));
@@ -273,8 +274,7 @@
     const Branch &Source = *SourcePtr;
     if (Source.Routes.empty())
       continue;
-    const bool HasService =
-        this->find("service/" + Source.Service.str()) != nullptr;
+    const bool HasService = this->find(servicePath(Source.Service)) != nullptr;
     for (const RouteDefinition &Route : Source.Routes) {
       const OwnedRoute *Indexed = this->findRoute(Source.Service, Route.Name);
       if (Indexed == nullptr && HasService)
--- a/src/tree/settingstree.h
+++ b/src/tree/settingstree.h
@@ -145,6 +145,9 @@
   bool MayHaveDuplicateMatches = false;
 };
 
+/** A settings tree, shared by everything that is compiled from it. */
+using SettingsTreePtr = std::shared_ptr<const SettingsTree>;
+
 /**
  * Reads every ".ini" file below \a Directory; the paths are relative to it
  * and have no extension. Errors: a file that can't be read, or one with another
--- a/tests/process/platformpath_test.py
+++ b/tests/process/platformpath_test.py
@@ -56,6 +56,46 @@
         assert status_of(get(fleet.vms[0])) == 404, "rolled back"
 
 
+# Guards against a version that is valid for the operator, but that no node
+# accepts, as the settings tree can't hold one of its values.
+def test_any_valid_configuration_is_in_force():
+    weights = [{"service": f"part-{number}-of-a-service", "weight": 1}
+               for number in range(20)]
+    odd = "service of caf\u00e9s, 100% /a=b]"
+    cases = {
+        "prefix": {"prefix": "/" + "segment/" * 400},
+        "host": {"hostname": ".".join(["a" * 60] * 4)},
+        "weights": {"weightedServices":
+                    [{"service": "shop", "weight": 1000000}] + weights},
+        "numbers": {"priority": 100000, "maxAttempts": 100000},
+        "long times": {"timeout": "3600s", "targetLatency": "3600s"},
+        "short times": {"targetLatency": "0.01ms"},
+        "many routes": {}}
+    with mesh(70, [("north", "shop"), ("south", "shop")]) as fleet:
+        for number, (case, fields) in enumerate(cases.items()):
+            version = number + 2
+            fields = {"prefix": f"/new-{version}/", **fields}
+            prefix = fields.pop("prefix")
+            host = fields.get("hostname", HOST)
+            routes = [route("r" * 200, prefix, "shop", **fields),
+                      route(odd, "/odd/", odd)]
+            if case == "many routes":
+                routes += [route(f"r-{index}", f"/many-{index}/", "shop")
+                           for index in range(600)]
+            value = config(version, routes,
+                           ["shop", odd] + [part["service"]
+                                            for part in weights],
+                           headerTimeout="600s", idleTimeout="86400s",
+                           maxBodyBytes=2 ** 40)
+            value["resources"][-2]["specification"].update(
+                maxConnections=10 ** 12, healthCheckPath="/" + "h" * 400)
+            fleet.publish_config(value)
+            assert wait_until(lambda: all(
+                status_of(get(vm, prefix + "x", host=host)) == 200
+                for vm in fleet.vms), APPLY_LIMIT) is not None, case
+            assert status_of(get(fleet.vms[0], "/odd/x")) == 503, case
+
+
 def test_a_node_without_a_version_refuses_and_is_not_ready():
     fleet = MeshFleet(51, [("north", "shop")])
     with fleet:
