Configuration: downloads may be repeated

Callers saw: a download that may have run got no second try, no hedge when a node was silent, and no place in a pipeline beside earlier requests.

Cause: configdocument.cpp compared the kind of a route with "idempotent" alone; the pages say "download: ... to be treated as idempotent". Found by reading; ruled out: the pipeline and the retries themselves, which ask the route's policy.

Test, red before: configdocument::downloads_are_idempotent_and_unknown_kinds_are_not.

--- a/tests/plugins/configdocument_test.cpp
+++ b/tests/plugins/configdocument_test.cpp
@@ -3,6 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <utility>
+#include <vector>
+
 using namespace bluebellbarrow; // NOLINT: test
 
 namespace {
@@ -97,6 +100,24 @@
   }
 }
 
+// Guards against a kind that may run more than once and gets no second try,
+// and against one that may not and gets it.
+Test(configdocument, downloads_are_idempotent_and_unknown_kinds_are_not) {
+  const std::vector<std::pair<const char *, bool>> Kinds = {
+      {"idempotent", true}, {"download", true},    {"non_idempotent", false},
+      {"upload", false},    {"Idempotent", false}, {"", false}};
+  for (const auto &[Kind, Idempotent] : Kinds) {
+    const SettingsTreePtr Tree = parseTree(
+        R"({"resourceType": "routes", "metadata": {"name": "one"},
+            "specification": {"hostname": "a", "prefix": "/", "service": "s",
+              "timeout": "2s", "routeKind": ")" +
+        std::string(Kind) + R"("}})");
+    cr_assert_not_null(Tree.get(), "%s", Kind);
+    cr_expect_eq(policyOf(*Tree, "s", "one").Idempotent, Idempotent, "%s",
+                 Kind);
+  }
+}
+
 Test(configdocument, malformed_documents_are_refused) {
   const std::string Sound = R"("hostname": "a", "prefix": "/", )";
   for (const char *Fields :
