HttpServer: a caller's connection ends for lack of progress, not by the clock

A response with "Connection: close" had 1 s from the moment it was queued.

Cause: TCP_USER_TIMEOUT of 3 s, meant to find dead nodes and targets, was set on callers' connections too; a closed window counts as unacknowledged data. The graceful close had a fixed time of 1 s.

Evidence: resets at 3.0 s in the callers' record, at any rate that leaves the window closed, none at full speed; no log line told. Ruled out: the way from the target (the node holds the whole response) and the deadline (not reached).

Change: SendProgress follows the bytes that a client acknowledged. A caller is given up after [limits] stall-time (30 s) without any, with the line "caller stalled" and a counter. ClosingConnections replaces the fixed 1 s. What was unbounded without the reset is bounded: unsent bytes count towards max-held; over it backlogged clients are not read and start nothing, the client that has stalled longest goes first, routes with long responses are refused at once; a connection with 1 MB unsent starts no request.

--- a/src/kernel/frametransport.cpp
+++ b/src/kernel/frametransport.cpp
@@ -18,7 +18,8 @@
 
 FrameTransport::FrameTransport(Task &Owner, FrameTransportOptions NewOptions,
                                FrameEvents Events)
-    : Owner(Owner), Options(std::move(NewOptions)), Events(std::move(Events)) {
+    : Owner(Owner), Options(std::move(NewOptions)), Events(std::move(Events)),
+      Closing(Owner, {}, nullptr) {
   if (this->Options.ListenPort == 0)
     return;
   auto NewListener = std::make_unique<TcpListener>(
@@ -141,7 +142,7 @@
     return;
   std::unique_ptr<Stream> Closed = std::move(Found->second);
   this->Streams.erase(Found);
-  TcpConnection::closeGracefully(this->Owner, std::move(Closed->Connection));
+  this->Closing.add(std::move(Closed->Connection));
   this->Events.Closed(Id);
 }
 
--- a/src/kernel/frametransport.h
+++ b/src/kernel/frametransport.h
@@ -1,6 +1,7 @@
 #ifndef BLUEBELLBARROW_KERNEL_FRAMETRANSPORT_H
 #define BLUEBELLBARROW_KERNEL_FRAMETRANSPORT_H
 
+#include "closingconnections.h"
 #include "error.h"
 #include "framereader.h"
 #include "ids.h"
@@ -85,7 +86,7 @@
 
   /**
    * Closes the stream at once; Closed follows. Queued frames are lost unless
-   * the peer receives them within the time of TcpConnection::closeGracefully().
+   * the peer takes them without a stall; see ClosingConnections.
    */
   void abort(StreamId Id);
 
@@ -115,6 +116,7 @@
   FrameEvents Events;
   std::unique_ptr<TcpListener> Listener;
   std::map<StreamId, std::unique_ptr<Stream>> Streams;
+  ClosingConnections Closing;
   uint64_t LastStreamId = 0;
 };
 
--- a/src/kernel/httpserver.cpp
+++ b/src/kernel/httpserver.cpp
@@ -19,6 +19,19 @@
 
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/** Time after a received byte or a response in which a client counts as active.
+ */
+constexpr Duration ActiveTime = seconds(1);
+
+/** Longest StallTimeout while connections close after their responses. */
+constexpr Duration MaxClosingStall = seconds(2);
+
+/** Time without progress from which a client may be given up for its bytes. */
+constexpr Duration MinStallToGiveUp = seconds(1);
+
+/** Unsent bytes of responses above which a connection starts no request. */
+constexpr size_t MaxUnsentBytesPerClient = size_t{1024} * 1024;
+
 /** Bytes that a client may have buffered even above MaxBufferedBytes. */
 constexpr size_t MinBufferedBytesPerClient = size_t{64} * 1024;
 
@@ -31,12 +44,21 @@
   ClientConnection(const HttpServerLimits &Limits,
                    RequestPipeline::IdempotencyCheck IsIdempotent)
       : Pipeline(Limits.MessageLimits, Limits.MaxPipelinedRequests,
-                 std::move(IsIdempotent)) {}
+                 std::move(IsIdempotent)),
+        Progress(Task::now()), LastActivityTime(Task::now()) {}
+
+  /** Returns the bytes that this connection buffers. */
+  size_t currentBufferedBytes() const {
+    return this->Pipeline.bufferedBytes() + this->Connection->queuedBytes();
+  }
 
   std::unique_ptr<TcpConnection> Connection;
   RequestPipeline Pipeline;
+  SendProgress Progress;
 
-  /** When bytes were last received or the last response was sent. */
+  /**
+   * When bytes were last received or delivered, or the last response was sent.
+   */
   TimePoint LastActivityTime;
 
   TimePoint LastResponseTime;
@@ -50,6 +72,8 @@
 HttpServer::HttpServer(Task &Owner, HttpServerOptions NewOptions,
                        HttpServerEvents Events)
     : Owner(Owner), Options(std::move(NewOptions)), Events(std::move(Events)),
+      Closing(Owner, {.StallTimeout = this->Options.Limits.StallTimeout},
+              this->Events.Stalled),
       TimeoutTimer(Owner, [this] { this->checkTimeouts(); }) {
   auto NewListener = std::make_unique<TcpListener>(
       Owner, this->Options.Local, [this](int Socket) { this->accept(Socket); });
@@ -57,10 +81,17 @@
     this->Listener = std::move(NewListener);
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() {
+  // What the socket already holds still reaches the client.
+  for (const auto &[Id, Client] : this->Connections)
+    Client->Connection->setResetOnDestruction(
+        Client->Pipeline.hasOpenRequests() ||
+        Client->Connection->queuedBytes() > 0);
+}
 
 void HttpServer::setLimits(const HttpServerLimits &NewLimits) {
   this->Options.Limits = NewLimits;
+  this->Closing.setStallTimeout(this->stallTimeout());
   for (const auto &[Id, Client] : this->Connections)
     Client->Pipeline.setLimits(NewLimits.MessageLimits,
                                NewLimits.MaxPipelinedRequests);
@@ -68,6 +99,7 @@
 
 void HttpServer::setCloseAfterResponse(bool Enabled) {
   this->CloseAfterResponse = Enabled;
+  this->Closing.setStallTimeout(this->stallTimeout());
   for (const auto &[Id, Client] : this->Connections)
     Client->Pipeline.setClosing(Enabled);
 }
@@ -86,7 +118,6 @@
   auto Client = std::make_unique<ClientConnection>(this->Options.Limits,
                                                    this->Events.IsIdempotent);
   Client->Pipeline.setClosing(this->CloseAfterResponse);
-  Client->LastActivityTime = Task::now();
   Client->Connection = std::make_unique<TcpConnection>(
       this->Owner, Socket,
       TcpEvents{
@@ -94,7 +125,8 @@
           .Received =
               [this, Id](std::string_view Bytes) { this->receive(Id, Bytes); },
           .Closed = [this, Id](TcpCloseReason) { this->onClosed(Id); },
-          .Drained = nullptr});
+          .Drained = [this, Id] { this->processReceived(Id); }},
+      Duration::zero());
   this->Connections.emplace(Id, std::move(Client));
 }
 
@@ -105,7 +137,9 @@
   Client.LastActivityTime = Now;
   Client.Pipeline.feed(Bytes, Now);
   this->updateBufferedBytes(Client);
-  if (!Client.Pipeline.hasOpenRequests() && this->exceedsBufferLimit(Client)) {
+  const bool IsBusy =
+      Client.Pipeline.hasOpenRequests() || Client.Connection->queuedBytes() > 0;
+  if (!IsBusy && this->exceedsBufferLimit(Client)) {
     this->refuse(Id, {.Status = StatusServiceUnavailable,
                       .Reason = "the node holds too many bytes"});
     return;
@@ -115,12 +149,12 @@
 
 void HttpServer::updateBufferedBytes(ClientConnection &Client) {
   this->BufferedBytes -= Client.BufferedBytes;
-  Client.BufferedBytes = Client.Pipeline.bufferedBytes();
+  Client.BufferedBytes = Client.currentBufferedBytes();
   this->BufferedBytes += Client.BufferedBytes;
 }
 
 bool HttpServer::exceedsBufferLimit(const ClientConnection &Client) const {
-  return this->BufferedBytes > this->Options.Limits.MaxBufferedBytes &&
+  return this->isOverBufferLimit() &&
          Client.BufferedBytes > MinBufferedBytesPerClient;
 }
 
@@ -134,8 +168,16 @@
   while (this->startNextRequest(Id)) {
   }
   const auto Found = this->Connections.find(Id);
-  if (Found != this->Connections.end())
-    this->updateReading(*Found->second);
+  if (Found == this->Connections.end())
+    return;
+  this->updateBufferedBytes(*Found->second);
+  this->updateReading(*Found->second);
+}
+
+bool HttpServer::mustWaitForClient(const ClientConnection &Client) const {
+  const size_t Unsent = Client.Connection->queuedBytes();
+  return Unsent > MaxUnsentBytesPerClient ||
+         (Unsent > 0 && this->exceedsBufferLimit(Client));
 }
 
 bool HttpServer::startNextRequest(ConnectionId Id) {
@@ -143,6 +185,8 @@
   if (Found == this->Connections.end())
     return false;
   ClientConnection &Client = *Found->second;
+  if (this->mustWaitForClient(Client))
+    return false;
   if (const std::optional<RequestFault> Fault = Client.Pipeline.fault()) {
     this->refuse(Id, *Fault);
     return false;
@@ -163,10 +207,12 @@
 }
 
 void HttpServer::updateReading(ClientConnection &Client) const {
-  const bool MustWait = Client.Pipeline.hasOpenRequests() &&
-                        Client.Pipeline.hasPartialRequest() &&
-                        (Client.Pipeline.waitingBytes() > MaxWaitingBytes ||
-                         this->exceedsBufferLimit(Client));
+  const bool IsBusy =
+      Client.Pipeline.hasOpenRequests() || Client.Connection->queuedBytes() > 0;
+  const bool MustWait =
+      IsBusy && Client.Pipeline.hasPartialRequest() &&
+      (Client.Pipeline.waitingBytes() > MaxWaitingBytes ||
+       this->exceedsBufferLimit(Client) || this->mustWaitForClient(Client));
   if (Client.ReadEnabled != MustWait)
     return;
   Client.ReadEnabled = !MustWait;
@@ -190,9 +236,9 @@
   const auto Found = this->Connections.find(Id);
   const std::vector<ExchangeId> Unanswered =
       Found->second->Pipeline.unanswered();
-  std::unique_ptr<TcpConnection> Closing = std::move(Found->second->Connection);
+  std::unique_ptr<TcpConnection> Ended = std::move(Found->second->Connection);
   this->removeConnection(Id);
-  TcpConnection::closeGracefully(this->Owner, std::move(Closing));
+  this->Closing.add(std::move(Ended));
   this->abortRequests(Unanswered);
 }
 
@@ -250,12 +296,91 @@
   for (const auto &[Id, Client] : this->Connections)
     Ids.push_back(Id);
   const TimePoint Now = Task::now();
-  for (const ConnectionId Id : Ids)
+  for (const ConnectionId Id : Ids) {
+    this->checkSending(Id, Now);
     this->checkTimeout(Id, Now);
+  }
+  this->releaseBuffers(Now);
   if (!this->Connections.empty())
     this->TimeoutTimer.start(TimeoutCheckPeriod);
 }
 
+void HttpServer::checkSending(ConnectionId Id, TimePoint Now) {
+  const auto Found = this->Connections.find(Id);
+  if (Found == this->Connections.end())
+    return;
+  ClientConnection &Client = *Found->second;
+  const bool MayBeBehind = Client.Connection->queuedBytes() > 0 ||
+                           Now - Client.LastActivityTime > ActiveTime;
+  if (!MayBeBehind || !Client.Progress.mayBeIncomplete(*Client.Connection))
+    return;
+  Client.Progress.update(*Client.Connection, Now);
+  const Duration Waited = Client.Progress.timeWithoutProgress(Now);
+  Client.LastActivityTime = std::max(Client.LastActivityTime, Now - Waited);
+  if (Client.Progress.undeliveredBytes() > 0 &&
+      Waited >= this->stallTimeout()) {
+    this->giveUp(Id, StallLimit::Time, Now);
+    return;
+  }
+  this->processReceived(Id);
+}
+
+void HttpServer::releaseBuffers(TimePoint Now) {
+  while (this->isOverBufferLimit()) {
+    Duration LongestStall{};
+    ConnectionId Longest = 0;
+    for (const auto &[Id, Client] : this->Connections) {
+      const Duration Stall = Client->Connection->queuedBytes() > 0
+                                 ? Client->Progress.timeWithoutProgress(Now)
+                                 : Duration::zero();
+      if (Stall > LongestStall) {
+        LongestStall = Stall;
+        Longest = Id;
+      }
+    }
+    const Duration ClosingStall = this->Closing.longestStall(Now);
+    if (std::max(LongestStall, ClosingStall) < MinStallToGiveUp)
+      return;
+    if (ClosingStall > LongestStall)
+      this->Closing.dropLongestStalled(Now);
+    else
+      this->giveUp(Longest, StallLimit::HeldBytes, Now);
+  }
+}
+
+Duration HttpServer::stallTimeout() const {
+  const Duration Timeout = this->Options.Limits.StallTimeout;
+  return this->CloseAfterResponse ? std::min(Timeout, MaxClosingStall)
+                                  : Timeout;
+}
+
+void HttpServer::giveUp(ConnectionId Id, StallLimit Limit, TimePoint Now) {
+  const ClientConnection &Client = *this->Connections.at(Id);
+  if (this->Events.Stalled)
+    this->Events.Stalled(
+        {.Peer = Client.Connection->remote(),
+         .Limit = Limit,
+         .StalledFor = Client.Progress.timeWithoutProgress(Now),
+         .UndeliveredBytes = Client.Progress.undeliveredBytes()});
+  this->onClosed(Id);
+}
+
+size_t HttpServer::bufferedBytes() const {
+  return this->BufferedBytes + this->Closing.queuedBytes();
+}
+
+size_t HttpServer::undeliveredCount() {
+  const TimePoint Now = Task::now();
+  size_t Count = this->Closing.undeliveredCount();
+  for (const auto &[Id, Client] : this->Connections) {
+    SendProgress &Progress = Client->Progress;
+    if (Progress.mayBeIncomplete(*Client->Connection))
+      Progress.update(*Client->Connection, Now);
+    Count += Progress.undeliveredBytes() > 0 ? 1 : 0;
+  }
+  return Count;
+}
+
 void HttpServer::checkTimeout(ConnectionId Id, TimePoint Now) {
   const auto Found = this->Connections.find(Id);
   if (Found == this->Connections.end() ||
--- a/src/kernel/httpserver.h
+++ b/src/kernel/httpserver.h
@@ -2,6 +2,7 @@
 #define BLUEBELLBARROW_KERNEL_HTTPSERVER_H
 
 #include "clock.h"
+#include "closingconnections.h"
 #include "error.h"
 #include "httpmessage.h"
 #include "requestpipeline.h"
@@ -44,6 +45,12 @@
    * a connection then run one after the other.
    */
   RequestPipeline::IdempotencyCheck IsIdempotent = nullptr;
+
+  /**
+   * A connection ended because its client did not take its responses. May be
+   * empty.
+   */
+  ClosingConnections::StallHandler Stalled = nullptr;
 };
 
 /** Size limits and timeouts of requests. */
@@ -57,10 +64,16 @@
   Duration IdleTimeout = seconds(75);
 
   /**
-   * Buffered bytes of requests and of responses that wait for earlier ones,
-   * over all connections. Above the limit, a connection that buffers more than
-   * 64 KiB is not read while it has open requests; otherwise, its request is
-   * refused.
+   * Time without an acknowledged byte after which a client that has not
+   * received all of its responses is given up.
+   */
+  Duration StallTimeout = seconds(30);
+
+  /**
+   * Buffered bytes of requests and of responses that are not sent yet, over
+   * all connections. Above the limit, a connection that buffers more than 64
+   * KiB is not read while it has open requests or unsent responses; otherwise,
+   * its request is refused.
    */
   size_t MaxBufferedBytes = size_t{32} * 1024 * 1024;
 
@@ -115,6 +128,23 @@
   /** Returns the number of open connections. */
   size_t connectionCount() const { return this->Connections.size(); }
 
+  /**
+   * Returns the number of connections, also closing ones, whose clients have
+   * not received all of the responses that were sent.
+   */
+  size_t undeliveredCount();
+
+  /**
+   * Returns the buffered bytes of requests and of responses that are not sent
+   * yet, over all connections.
+   */
+  size_t bufferedBytes() const;
+
+  /** Returns true if more than MaxBufferedBytes are buffered. */
+  bool isOverBufferLimit() const {
+    return this->bufferedBytes() > this->Options.Limits.MaxBufferedBytes;
+  }
+
   /** Returns when bytes were last received from any client. */
   TimePoint lastReceiveTime() const { return this->LastReceiveTime; }
 
@@ -127,6 +157,19 @@
   void processReceived(ConnectionId Id);
   bool startNextRequest(ConnectionId Id);
   void updateReading(ClientConnection &Client) const;
+
+  /** Returns true if the client is behind with reading its responses. */
+  bool mustWaitForClient(const ClientConnection &Client) const;
+
+  /** Gives up a client that has stalled; starts requests that waited for it. */
+  void checkSending(ConnectionId Id, TimePoint Now);
+
+  /** Returns the time limit of a stall, which is shorter during a shutdown. */
+  Duration stallTimeout() const;
+
+  /** Gives up clients that have stalled while too many bytes are buffered. */
+  void releaseBuffers(TimePoint Now);
+  void giveUp(ConnectionId Id, StallLimit Limit, TimePoint Now);
   void sendResponses(ConnectionId Id);
   void refuse(ConnectionId Id, const RequestFault &Fault);
   void onClosed(ConnectionId Id);
@@ -144,11 +187,12 @@
   std::unique_ptr<TcpListener> Listener;
   std::map<ConnectionId, std::unique_ptr<ClientConnection>> Connections;
   std::map<ExchangeId, ConnectionId> Exchanges;
+  ClosingConnections Closing;
   Timer TimeoutTimer;
   uint64_t LastExchangeId = 0;
   ConnectionId LastConnectionId = 0;
 
-  /** Sum of the connections' RequestPipeline::bufferedBytes(). */
+  /** Sum of the connections' buffered bytes, without closing ones. */
   size_t BufferedBytes = 0;
 
   TimePoint LastReceiveTime;
--- a/src/kernel/tcpconnection.cpp
+++ b/src/kernel/tcpconnection.cpp
@@ -7,9 +7,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <list>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -29,30 +30,25 @@
  */
 constexpr size_t MaxWriteBytes = size_t{128} * 1024;
 
-/** Time after which unacknowledged bytes end the connection. */
-constexpr int UserTimeoutMs = 3000;
-
 /** Idle time before the first keep-alive probe. */
 constexpr int KeepAliveIdleSeconds = 1;
 
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
-/** Time limit of closeGracefully(). */
-constexpr Duration GracefulCloseTimeout = seconds(1);
-
 void setOption(int Socket, int Level, int Name, int Value) {
   setsockopt(Socket, Level, Name, &Value, sizeof(Value));
 }
 
 /** Disables Nagle's algorithm and enables the detection of dead peers. */
-void configureSocket(int Socket) {
+void configureSocket(int Socket, Duration UnacknowledgedTimeout) {
   setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
   setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(toMilliseconds(UnacknowledgedTimeout)));
 }
 
 /** Makes close() of \a Socket send a reset. */
@@ -69,21 +65,16 @@
                 MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
-/** A connection in closeGracefully(). */
-struct ClosingConnection {
-  std::unique_ptr<TcpConnection> Connection;
-  std::unique_ptr<Timer> TimeoutTimer;
-};
-
 } // namespace
 
-TcpConnection::TcpConnection(Task &Owner, int Socket, TcpEvents Events)
+TcpConnection::TcpConnection(Task &Owner, int Socket, TcpEvents Events,
+                             Duration UnacknowledgedTimeout)
     : Owner(Owner), Events(std::move(Events)) {
   sockaddr_in Peer{};
   socklen_t Length = sizeof(Peer);
   getpeername(Socket, reinterpret_cast<sockaddr *>(&Peer), &Length);
   this->Remote = fromSocketAddress(Peer);
-  configureSocket(Socket);
+  configureSocket(Socket, UnacknowledgedTimeout);
   this->adopt(Socket);
 }
 
@@ -96,7 +87,7 @@
   sockaddr_in Local{};
   sockaddr_in Peer{};
   const bool Valid = toSocketAddress(Options.Remote, Peer);
-  configureSocket(Socket);
+  configureSocket(Socket, DefaultUnacknowledgedTimeout);
   if (toSocketAddress({.Ip = Options.LocalIp, .Port = 0}, Local))
     (void)bind(Socket, reinterpret_cast<const sockaddr *>(&Local),
                sizeof(Local));
@@ -120,7 +111,8 @@
 
 TcpConnection::~TcpConnection() {
   *this->Alive = false;
-  if (this->Socket != nullptr && this->Socket->isOpen())
+  if (this->ResetOnDestruction && this->Socket != nullptr &&
+      this->Socket->isOpen())
     setResetOnClose(this->Socket->fd());
 }
 
@@ -218,8 +210,10 @@
   }
   this->SendQueue = std::string();
   this->QueueOffset = 0;
-  if (this->Events.Drained)
-    this->Events.Drained();
+  // The handler may replace the events.
+  const std::function<void()> Handler = this->Events.Drained;
+  if (Handler)
+    Handler();
 }
 
 void TcpConnection::setReadEnabled(bool Enabled) {
@@ -240,33 +234,17 @@
     Handler(Reason);
 }
 
-void TcpConnection::closeGracefully(Task &Owner,
-                                    std::unique_ptr<TcpConnection> Closing) {
-  if (Closing == nullptr || !Closing->isReady())
-    return;
-  auto Entry = std::make_shared<ClosingConnection>();
-  TcpConnection &Connection = *Closing;
-  Entry->Connection = std::move(Closing);
-  // Posted, so that the connection is not destroyed within its own handlers.
-  const auto Release = [Entry, &Owner] {
-    Owner.post([Entry] {
-      Entry->TimeoutTimer.reset();
-      Entry->Connection.reset();
-    });
-  };
-  const auto FinishSending = [&Connection] {
-    if (Connection.Socket != nullptr && Connection.Socket->isOpen())
-      shutdown(Connection.Socket->fd(), SHUT_WR);
-  };
-  Connection.Events = {.Connected = nullptr,
-                       .Received = [](std::string_view) {},
-                       .Closed = [Release](TcpCloseReason) { Release(); },
-                       .Drained = FinishSending};
-  Entry->TimeoutTimer = std::make_unique<Timer>(Owner, Release);
-  Entry->TimeoutTimer->start(GracefulCloseTimeout);
-  Connection.setReadEnabled(true);
-  if (Connection.queuedBytes() == 0)
-    FinishSending();
+size_t TcpConnection::undeliveredBytes() const {
+  int Unacknowledged = 0;
+  const bool IsOpen = this->Socket != nullptr && this->Socket->isOpen();
+  if (!IsOpen || ioctl(this->Socket->fd(), SIOCOUTQ, &Unacknowledged) != 0)
+    Unacknowledged = 0;
+  return this->queuedBytes() + static_cast<size_t>(Unacknowledged);
+}
+
+void TcpConnection::endSending() {
+  if (this->Socket != nullptr && this->Socket->isOpen())
+    shutdown(this->Socket->fd(), SHUT_WR);
 }
 
 } // namespace bluebellbarrow
--- a/src/kernel/tcpconnection.h
+++ b/src/kernel/tcpconnection.h
@@ -59,24 +59,34 @@
   Duration ConnectTimeout = seconds(1);
 };
 
+/** Time after which unacknowledged bytes end a connection by default. */
+inline constexpr Duration DefaultUnacknowledgedTimeout = seconds(3);
+
 /**
  * One TCP connection. A peer that lost power or its network is detected
- * within a few seconds, also while nothing is sent.
+ * within a few seconds while nothing is sent, and after the timeout for
+ * unacknowledged bytes otherwise.
  *
  * Thread safety: none; owned by one task.
  */
 class TcpConnection {
 public:
   /**
-   * Takes ownership of an accepted socket. \pre \a Owner outlives the object.
+   * Takes ownership of an accepted socket. A peer that reads too slowly for
+   * \a UnacknowledgedTimeout also loses the connection; zero leaves that to
+   * the owner, see SendProgress. \pre \a Owner outlives the object.
    */
-  TcpConnection(Task &Owner, int Socket, TcpEvents Events);
+  TcpConnection(Task &Owner, int Socket, TcpEvents Events,
+                Duration UnacknowledgedTimeout = DefaultUnacknowledgedTimeout);
 
   /** Opens a connection; Connected or Closed follows. */
   TcpConnection(Task &Owner, const TcpConnectOptions &Options,
                 TcpEvents Events);
 
-  /** Resets the connection unless it has ended. */
+  /**
+   * Resets the connection unless it has ended or setResetOnDestruction() says
+   * otherwise.
+   */
   ~TcpConnection();
 
   TcpConnection(const TcpConnection &) = delete;
@@ -93,6 +103,12 @@
     return this->SendQueue.size() - this->QueueOffset;
   }
 
+  /**
+   * Returns the bytes that the peer has not acknowledged, including the send
+   * queue. Makes a system call.
+   */
+  size_t undeliveredBytes() const;
+
   /** Returns the number of bytes written to the socket so far. */
   uint64_t sentBytes() const { return this->SentBytes; }
 
@@ -115,15 +131,19 @@
   /** Returns the endpoint of the peer. */
   const Endpoint &remote() const { return this->Remote; }
 
+  /** Replaces the event handlers. */
+  void setEvents(TcpEvents NewEvents) { this->Events = std::move(NewEvents); }
+
   /**
-   * Takes ownership of a connection and closes it gracefully: sends what is
-   * queued, then reads and drops what arrives until the peer has closed or one
-   * second has passed. An immediate close would reset the connection, and the
-   * peer could lose the last bytes. A connection that is not established is
-   * destroyed at once.
+   * Tells the peer that no bytes follow; reading goes on. \pre queuedBytes() is
+   * 0.
    */
-  static void closeGracefully(Task &Owner,
-                              std::unique_ptr<TcpConnection> Closing);
+  void endSending();
+
+  /** Sets whether the destructor resets the connection or closes it. */
+  void setResetOnDestruction(bool Enabled) {
+    this->ResetOnDestruction = Enabled;
+  }
 
 private:
   enum class Phase { Connecting, Ready, Closed };
@@ -153,6 +173,7 @@
 
   uint64_t SentBytes = 0;
   uint64_t DrainedBytes = 0;
+  bool ResetOnDestruction = true;
 
   /**
    * False once the object is destroyed; shared with running handlers and posted
--- a/src/plugins/http/outboundcalls.cpp
+++ b/src/plugins/http/outboundcalls.cpp
@@ -19,6 +19,9 @@
 
 constexpr Duration MetricsPeriod = seconds(1);
 
+/** Mean size of a route's responses from which they count as long. */
+constexpr double LongResponseBytes = 64.0 * 1024;
+
 /** Retry-After of a node that has no version yet or shuts down. */
 constexpr Duration NotReadyRetryAfter = milliseconds(300);
 
@@ -61,6 +64,10 @@
            .IsIdempotent =
                [this](const HttpRequest &Request) {
                  return this->isIdempotent(Request);
+               },
+           .Stalled =
+               [this](const StalledConnection &Connection) {
+                 this->onStalled(Connection);
                }}),
       Peers(
           Owner, Settings.BindIp, Settings.PeerPort, Self,
@@ -106,6 +113,7 @@
                              static_cast<size_t>(Limits.MaxBodyBytes)},
        .HeaderTimeout = Limits.HeaderTimeout,
        .IdleTimeout = Limits.IdleTimeout,
+       .StallTimeout = Limits.StallTimeout,
        .MaxBufferedBytes = static_cast<size_t>(Limits.MaxBufferedBytes),
        .MaxPipelinedRequests =
            static_cast<size_t>(Limits.MaxPipelinedRequests)});
@@ -173,6 +181,12 @@
     this->refuse(Exchange, Request, 413, "request body is too large");
     return;
   }
+  if (this->CallerServer.isOverBufferLimit() &&
+      this->UpstreamRouter.meanResponseBytes(Route->Name) > LongResponseBytes) {
+    this->refuse(Exchange, Request, StatusNotRun,
+                 "the node holds too many bytes");
+    return;
+  }
   this->startCall(Exchange, Request, *Route, ReceivedAt);
 }
 
@@ -420,6 +434,17 @@
       Id, this->Calls.at(Id).StateMachine->onCallerAborted(Task::now()));
 }
 
+void OutboundCalls::onStalled(const StalledConnection &Connection) {
+  const char *Limit =
+      Connection.Limit == StallLimit::Time ? "stall-time" : "max-held";
+  this->NodeMetrics.add(Metric::StalledCallers, Limit);
+  logEvent(LogLevel::Warning, "caller stalled",
+           {{"peer", Connection.Peer.str()},
+            {"limit", Limit},
+            {"stalled_ms", toMilliseconds(Connection.StalledFor)},
+            {"unread_bytes", Connection.UndeliveredBytes}});
+}
+
 void OutboundCalls::failOpenCalls(const std::string &Reason) {
   std::vector<CallId> Ids;
   for (const auto &[Id, Open] : this->Calls)
@@ -451,6 +476,12 @@
   this->NodeMetrics.set(
       Metric::EjectedUpstreams, "",
       static_cast<double>(this->UpstreamRouter.ejectedCount(Now)));
+  this->NodeMetrics.set(
+      Metric::UnreadResponses, "",
+      static_cast<double>(this->CallerServer.undeliveredCount()));
+  this->NodeMetrics.set(
+      Metric::BufferedBytes, "",
+      static_cast<double>(this->CallerServer.bufferedBytes()));
   const auto Counts = this->UpstreamRouter.countByExclusion(Now);
   for (const Exclusion Cause :
        {Exclusion::ListedAsLeaving, Exclusion::AnnouncedState,
--- a/src/plugins/http/outboundcalls.h
+++ b/src/plugins/http/outboundcalls.h
@@ -69,6 +69,12 @@
   /** Returns the number of requests without a response. */
   size_t openRequests() const { return this->CallerServer.openRequests(); }
 
+  /**
+   * Returns the number of connections whose callers have not received all of
+   * their responses.
+   */
+  size_t undeliveredCount() { return this->CallerServer.undeliveredCount(); }
+
 private:
   struct Call {
     ExchangeId HttpExchange;
@@ -105,6 +111,7 @@
   const RouteEntry *findRoute(const HttpRequest &Request) const;
   bool isIdempotent(const HttpRequest &Request) const;
   void onAborted(ExchangeId Exchange);
+  void onStalled(const StalledConnection &Connection);
   void startCall(ExchangeId Exchange, const HttpRequest &Request,
                  const RouteEntry &Route, TimePoint ReceivedAt);
   void executeActions(CallId Id, const OutboundCallActions &Actions);
--- a/src/plugins/metrics/metrics.cpp
+++ b/src/plugins/metrics/metrics.cpp
@@ -32,7 +32,7 @@
 };
 
 /** In the order of Metric, whose values are indices into this array. */
-constexpr std::array<MetricDefinition, 21> MetricDefinitions = {{
+constexpr std::array<MetricDefinition, 24> MetricDefinitions = {{
     {Metric::VersionNumber, "bluebellbarrow_version_number", "kind",
      MetricKind::Gauge, "Number of the version in force"},
     {Metric::VersionAppliedAt, "bluebellbarrow_version_applied_seconds", "kind",
@@ -70,6 +70,13 @@
      MetricKind::Gauge, "Upstreams left out for their failures"},
     {Metric::ExcludedUpstreams, "bluebellbarrow_excluded_upstreams", "cause",
      MetricKind::Gauge, "Upstreams that get no requests"},
+    {Metric::UnreadResponses, "bluebellbarrow_unread_connections", "",
+     MetricKind::Gauge,
+     "Connections whose callers have not received all that was sent"},
+    {Metric::BufferedBytes, "bluebellbarrow_held_bytes", "", MetricKind::Gauge,
+     "Bytes of requests and of unsent responses that the node holds"},
+    {Metric::StalledCallers, "bluebellbarrow_stalled_callers_total", "limit",
+     MetricKind::Counter, "Connections ended since the caller did not read"},
     {Metric::VersionConflicts, "bluebellbarrow_version_conflicts_total", "",
      MetricKind::Counter, "Version numbers that were given twice"},
     {Metric::RequestTime, "bluebellbarrow_request_seconds", "outcome",
--- a/src/plugins/routing/router.cpp
+++ b/src/plugins/routing/router.cpp
@@ -77,9 +77,7 @@
       Request.Route, effectiveLatencyObjective(RoutePolicy));
   const Duration ServiceTime =
       View.expectedServiceTime(Estimate.Mean, RoutePolicy, Now);
-  const auto Known = this->MeanResponseBytes.find(Request.Route);
-  const double ResponseBytes =
-      Known == this->MeanResponseBytes.end() ? 0 : Known->second;
+  const double ResponseBytes = this->meanResponseBytes(Request.Route);
   return {.Upstream = &Upstream,
           .Load = View.load(RoutePolicy, Now),
           .ExpectedWait = View.expectedWait(RoutePolicy, ServiceTime, Now),
@@ -178,6 +176,11 @@
     Position->second += ResponseSizeWeight * (Bytes - Position->second);
 }
 
+double Router::meanResponseBytes(const RouteName &Route) const {
+  const auto Known = this->MeanResponseBytes.find(Route);
+  return Known == this->MeanResponseBytes.end() ? 0 : Known->second;
+}
+
 size_t Router::ejectedCount(TimePoint Now) const {
   return static_cast<size_t>(std::count_if(
       this->Views.begin(), this->Views.end(),
--- a/src/plugins/routing/router.h
+++ b/src/plugins/routing/router.h
@@ -93,6 +93,9 @@
   /** Called when the target of \a Id has responded to a request. */
   void onRequestFinished(const UpstreamId &Id, const FinishedRequest &Request);
 
+  /** Returns the mean size of the bodies of a route's responses, in bytes. */
+  double meanResponseBytes(const RouteName &Route) const;
+
   /** Returns the number of ejected upstreams. */
   size_t ejectedCount(TimePoint Now) const;
 
--- a/src/tree/policy.cpp
+++ b/src/tree/policy.cpp
@@ -73,7 +73,7 @@
      &Policy::MaxConnections},
 }};
 
-const std::array<FieldSpec<CallerLimits>, 6> LimitTable = {{
+const std::array<FieldSpec<CallerLimits>, 7> LimitTable = {{
     {{"limits", "max-header", KeyType::Size, 1, 16 * Megabyte, "16 KB",
       "maximum size of a request header"},
      &CallerLimits::MaxHeaderBytes},
@@ -92,6 +92,11 @@
     {{"limits", "idle-time", KeyType::Duration, 1, Year, "75 s",
       "time without a byte after which a connection is closed"},
      &CallerLimits::IdleTimeout},
+    {{"limits", "stall-time", KeyType::Duration, 100 * Millisecond, Year,
+      "30 s",
+      "time without an acknowledged byte after which a caller that has not "
+      "received its responses is given up"},
+     &CallerLimits::StallTimeout},
 }};
 
 const std::array<FieldSpec<SpreadPolicy>, 13> SpreadTable = {{
--- a/src/tree/policy.h
+++ b/src/tree/policy.h
@@ -82,6 +82,12 @@
 
   Duration HeaderTimeout{};
   Duration IdleTimeout{};
+
+  /**
+   * Time without an acknowledged byte after which a caller that has not
+   * received its responses is given up.
+   */
+  Duration StallTimeout{};
 };
 
 /** How versions are disseminated in one failure domain. */
--- a/tests/standins/meshtarget.py
+++ b/tests/standins/meshtarget.py
@@ -8,7 +8,8 @@
 and /control/runs (each request that ran, with its headers unchanged; number
 of requests aborted by the caller; number of connections).
 
-Knobs: work_ms (service time), mode and count: the mode applies to the next
+Knobs: work_ms (service time), body_bytes (length of the body, if not 0), mode
+and count: the mode applies to the next
 COUNT requests (-1 for all). Modes: plain, full (503, not run), silent (no
 response), late (responds 0.5 s after the service time, when the next request
 has been sent), extra (a second response follows), unframed (no length, ends
@@ -45,7 +46,8 @@
         self.aborted = 0
         self.connections = 0
         self.endless_bytes = 0
-        self.knobs = {"work_ms": 20, "mode": "plain", "count": -1}
+        self.knobs = {"work_ms": 20, "body_bytes": 0, "mode": "plain",
+                      "count": -1}
 
     def next_mode(self):
         remaining = int(self.knobs["count"])
@@ -89,6 +91,9 @@
             self.running -= 1
 
     def plain(self, request_id, body=b"the target's bytes"):
+        length = int(self.knobs["body_bytes"])
+        if length > 0:
+            body = (bytes(range(251)) * (length // 251 + 1))[:length]
         return response_bytes(200, self.headers(request_id), body)
 
     async def respond(self, mode, request_id, writer):
