Graceful shutdown: wait for callers that are still reading

Cause: a request counted as finished once its response was in the send queue; the process left 0.1 s after the last one, and its exit reset what was not delivered.

"stop ends" now logs what is left. Ruled out: the response's way to the node, complete before the reset.

Change: connections with undelivered responses count as open work.

--- a/src/plugins/http/dataplaneplugin.cpp
+++ b/src/plugins/http/dataplaneplugin.cpp
@@ -223,16 +223,19 @@
     this->updateLocalState();
     const size_t OpenRequests =
         this->Outbound.openRequests() + this->Inbound.openRequests();
-    if (OpenRequests > 0)
+    const size_t Unfinished = OpenRequests + this->Outbound.undeliveredCount();
+    if (Unfinished > 0)
       this->LastOpenAt = Now;
-    if (!this->Shutdown.mayExit(OpenRequests, this->LastOpenAt, Now))
+    if (!this->Shutdown.mayExit(Unfinished, this->LastOpenAt, Now))
       return;
     // Requests may still be open when the process is about to be killed.
     if (OpenRequests > 0)
       this->Outbound.failOpenCalls("the node stops");
+    logEvent(LogLevel::Info, "stop ends",
+             {{"open_requests", OpenRequests},
+              {"unread_connections", Unfinished - OpenRequests}});
     this->ReadyToExit = true;
-    this->Context.Bus.ShutdownComplete.publish(
-        {.AbortedRequests = OpenRequests});
+    this->Context.Bus.ShutdownComplete.publish({.AbortedRequests = Unfinished});
   }
 
   NodeContext &Context;
--- a/src/plugins/http/gracefulshutdown.cpp
+++ b/src/plugins/http/gracefulshutdown.cpp
@@ -32,7 +32,7 @@
              : ShutdownPhase::Leaving;
 }
 
-bool GracefulShutdown::mayExit(size_t OpenRequests, TimePoint LastOpenAt,
+bool GracefulShutdown::mayExit(size_t Unfinished, TimePoint LastOpenAt,
                                TimePoint Now) const {
   switch (this->phase(Now)) {
   case ShutdownPhase::Running:
@@ -45,7 +45,7 @@
   }
   const TimePoint DrainingSince =
       *this->StartedAt + this->Options.LeaveGracePeriod;
-  return OpenRequests == 0 &&
+  return Unfinished == 0 &&
          Now - std::max(LastOpenAt, DrainingSince) >= IdleBeforeExit;
 }
 
--- a/src/plugins/http/gracefulshutdown.h
+++ b/src/plugins/http/gracefulshutdown.h
@@ -48,11 +48,13 @@
   ShutdownPhase phase(TimePoint Now) const;
 
   /**
-   * Returns true when the process may exit. \a LastOpenAt is the last time at
-   * which a request was open. Requests that are refused do not count, so
-   * callers that go on sending do not delay the restart.
+   * Returns true when the process may exit. \a Unfinished counts open requests
+   * and connections whose callers have not received all responses; \a
+   * LastOpenAt is the last time at which it was not 0. Requests that are
+   * refused do not count, so callers that go on sending do not delay the
+   * restart.
    */
-  bool mayExit(size_t OpenRequests, TimePoint LastOpenAt, TimePoint Now) const;
+  bool mayExit(size_t Unfinished, TimePoint LastOpenAt, TimePoint Now) const;
 
 private:
   GracefulShutdownOptions Options;
