WeightedRoundRobin: start anew when the weights of a route change

Cause: the current weights were kept over a change, in the units of the old ones.

Change: a route's sequence restarts when its weights differ, at a random point, so that the nodes of a fleet do not all send their first requests to one service.

Ruled out: the routes' compilation (the weights that next() gets are the new ones).

--- a/src/plugins/http/outboundcalls.cpp
+++ b/src/plugins/http/outboundcalls.cpp
@@ -43,6 +43,7 @@
     : Owner(Owner), Service(Settings.Service), Codec(Protocol), Self(Self),
       Inbound(Inbound), NodeMetrics(NodeMetrics),
       UpstreamRouter(Self.Name, Self.Incarnation.value()),
+      TrafficSplit(Self.Incarnation.value()),
       RetryJitter(Self.Incarnation.value()), Budgets(Self.Incarnation.value()),
       CallerServer(
           Owner,
