InboundCalls: queued requests start at the new address of a target

Cause: setSettings() cancelled the running calls one by one; each cancellation let a queued request start on the old HttpClient, which was then destroyed without completing it.

Change: the new client is in place before the calls of the old one are cancelled.

Ruled out: Admission, which starts queued requests as it should.

--- a/src/plugins/http/inboundcalls.cpp
+++ b/src/plugins/http/inboundcalls.cpp
@@ -65,9 +65,12 @@
   this->Service = New.Service;
   this->TargetEndpoint = New.TargetEndpoint;
   if (EndpointChanged && this->TargetClient != nullptr) {
-    for (size_t Slot = 0; Slot < this->TargetClient->slotCount(); ++Slot)
-      this->TargetClient->cancel(Slot, "the target has moved");
-    this->createTargetClient(this->TargetClient->slotCount());
+    // Each cancelled call lets a queued one start, which goes to the new
+    // endpoint.
+    const std::unique_ptr<HttpClient> Previous = std::move(this->TargetClient);
+    this->createTargetClient(Previous->slotCount());
+    for (size_t Slot = 0; Slot < Previous->slotCount(); ++Slot)
+      Previous->cancel(Slot, "the target has moved");
   }
   if (this->CurrentSnapshot != nullptr)
     this->setSnapshot(this->CurrentSnapshot);
--- a/tests/process/platformpath_test.py
+++ b/tests/process/platformpath_test.py
@@ -385,6 +385,39 @@
         assert status_of(get(vm)) == 200 and vm.node.poll() is None
 
 
+# Guards against queued requests that start at the old address while its calls
+# are cancelled: they were never answered, and their slots were lost for good.
+def test_a_target_that_moves_loses_no_request_and_no_slot():
+    with mesh(75, [("north", "shop"), ("south", "stock")],
+              timeout="6000ms") as fleet:
+        vm = fleet.vms[0]
+        port = APP_PORT + 8
+        fleet.spawn("moved", sys_python(), STANDINS / "meshtarget.py",
+                    vm.address, port, vm.instance, 4)
+        assert wait_until(lambda: answers(vm.address, port), 5) is not None
+        fleet.knobs(vm, work_ms=1000)
+        responses = {}
+
+        def call(number):
+            responses[number] = get(vm, request_id=f"m-{number}",
+                                    remaining=2900)
+        threads = [threading.Thread(target=call, args=(number,))
+                   for number in range(10)]
+        for thread in threads:
+            thread.start()
+        assert wait_until(lambda: len(fleet.runs(vm)) == 4, 2) is not None
+        vm.settings_path.write_text(fleet.settings_text(
+            vm, applicationAddress=f"{vm.address}:{port}"))
+        vm.node.send_signal(signal.SIGHUP)
+        for thread in threads:
+            thread.join()
+        statuses = [status_of(responses[number]) for number in range(10)]
+        assert statuses.count(200) >= 6 and \
+            set(statuses) <= {200, 502, 503}, statuses
+        for _ in range(8):
+            assert status_of(get(vm)) == 200
+
+
 def test_a_stop_cuts_nothing_and_ends_in_time():
     with mesh(63) as fleet:
         vm = fleet.vms[0]
