--- a/src/kernel/httpserver.cpp
+++ b/src/kernel/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "httpserver.h"
 
+#include "clientconnection.h"
 #include "task.h"
 #include "tcplistener.h"
 
@@ -19,8 +20,7 @@
 
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/** Time after a received byte or a response in which a client counts as active.
- */
+/** Time since its last activity in which a client counts as active. */
 constexpr Duration ActiveTime = seconds(1);
 
 /** Longest StallTimeout while connections close after their responses. */
@@ -40,35 +40,6 @@
 
 } // namespace
 
-struct HttpServer::ClientConnection {
-  ClientConnection(const HttpServerLimits &Limits,
-                   RequestPipeline::IdempotencyCheck IsIdempotent)
-      : Pipeline(Limits.MessageLimits, Limits.MaxPipelinedRequests,
-                 std::move(IsIdempotent)),
-        Progress(Task::now()), LastActivityTime(Task::now()) {}
-
-  /** Returns the bytes that this connection buffers. */
-  size_t currentBufferedBytes() const {
-    return this->Pipeline.bufferedBytes() + this->Connection->queuedBytes();
-  }
-
-  std::unique_ptr<TcpConnection> Connection;
-  RequestPipeline Pipeline;
-  SendProgress Progress;
-
-  /**
-   * When bytes were last received or delivered, or the last response was sent.
-   */
-  TimePoint LastActivityTime;
-
-  TimePoint LastResponseTime;
-
-  /** Bytes counted in HttpServer::BufferedBytes. */
-  size_t BufferedBytes = 0;
-
-  bool ReadEnabled = true;
-};
-
 HttpServer::HttpServer(Task &Owner, HttpServerOptions NewOptions,
                        HttpServerEvents Events)
     : Owner(Owner), Options(std::move(NewOptions)), Events(std::move(Events)),
@@ -84,9 +55,7 @@
 HttpServer::~HttpServer() {
   // What the socket already holds still reaches the client.
   for (const auto &[Id, Client] : this->Connections)
-    Client->Connection->setResetOnDestruction(
-        Client->Pipeline.hasOpenRequests() ||
-        Client->Connection->queuedBytes() > 0);
+    Client->Connection->setResetOnDestruction(Client->isBusy());
 }
 
 void HttpServer::setLimits(const HttpServerLimits &NewLimits) {
@@ -115,8 +84,10 @@
   if (this->Connections.empty())
     this->TimeoutTimer.start(TimeoutCheckPeriod);
   const ConnectionId Id = ++this->LastConnectionId;
-  auto Client = std::make_unique<ClientConnection>(this->Options.Limits,
-                                                   this->Events.IsIdempotent);
+  const HttpServerLimits &Limits = this->Options.Limits;
+  auto Client = std::make_unique<ClientConnection>(
+      Limits.MessageLimits, Limits.MaxPipelinedRequests,
+      this->Events.IsIdempotent, Task::now());
   Client->Pipeline.setClosing(this->CloseAfterResponse);
   Client->Connection = std::make_unique<TcpConnection>(
       this->Owner, Socket,
@@ -137,9 +108,7 @@
   Client.LastActivityTime = Now;
   Client.Pipeline.feed(Bytes, Now);
   this->updateBufferedBytes(Client);
-  const bool IsBusy =
-      Client.Pipeline.hasOpenRequests() || Client.Connection->queuedBytes() > 0;
-  if (!IsBusy && this->exceedsBufferLimit(Client)) {
+  if (!Client.isBusy() && this->exceedsBufferLimit(Client)) {
     this->refuse(Id, {.Status = StatusServiceUnavailable,
                       .Reason = "the node holds too many bytes"});
     return;
@@ -149,7 +118,8 @@
 
 void HttpServer::updateBufferedBytes(ClientConnection &Client) {
   this->BufferedBytes -= Client.BufferedBytes;
-  Client.BufferedBytes = Client.currentBufferedBytes();
+  Client.BufferedBytes =
+      Client.Pipeline.bufferedBytes() + Client.Connection->queuedBytes();
   this->BufferedBytes += Client.BufferedBytes;
 }
 
@@ -207,10 +177,8 @@
 }
 
 void HttpServer::updateReading(ClientConnection &Client) const {
-  const bool IsBusy =
-      Client.Pipeline.hasOpenRequests() || Client.Connection->queuedBytes() > 0;
   const bool MustWait =
-      IsBusy && Client.Pipeline.hasPartialRequest() &&
+      Client.isBusy() && Client.Pipeline.hasPartialRequest() &&
       (Client.Pipeline.waitingBytes() > MaxWaitingBytes ||
        this->exceedsBufferLimit(Client) || this->mustWaitForClient(Client));
   if (Client.ReadEnabled != MustWait)
--- a/src/kernel/httpserver.h
+++ b/src/kernel/httpserver.h
@@ -20,6 +20,7 @@
 
 class Task;
 class TcpListener;
+struct ClientConnection;
 
 /** Event handlers of an HttpServer; each is called on the server's task. */
 struct HttpServerEvents {
@@ -149,7 +150,6 @@
   TimePoint lastReceiveTime() const { return this->LastReceiveTime; }
 
 private:
-  struct ClientConnection;
   using ConnectionId = uint64_t;
 
   void accept(int Socket);
--- a/src/kernel/tcpconnection.cpp
+++ b/src/kernel/tcpconnection.cpp
@@ -137,8 +137,10 @@
   this->State = Phase::Ready;
   this->ConnectTimer.reset();
   const std::shared_ptr<bool> AliveFlag = this->Alive;
-  if (this->Events.Connected)
-    this->Events.Connected();
+  // The handler may replace the events.
+  const std::function<void()> Handler = this->Events.Connected;
+  if (Handler)
+    Handler();
   return *AliveFlag && this->isReady();
 }
 
