FrameTransport: reset a closed stream whose peer has not closed after 1 s

A node that was stopping gave a caller 502 at 30.008 s for a request of an idempotent route; at 31.131 s the upstream's node read that request and ran it.

A stream between nodes that was given up for silence then stays readable for the silent peer.

Change: streams between nodes are reset again; callers' connections are not, since their clients may still be reading.

--- a/src/kernel/closingconnections.cpp
+++ b/src/kernel/closingconnections.cpp
@@ -85,7 +85,7 @@
   }
   if (Waited < this->Options.PeerCloseTimeout)
     return true;
-  Polled.Connection->setResetOnDestruction(false);
+  Polled.Connection->setResetOnDestruction(this->Options.ResetUnclosed);
   return false;
 }
 
--- a/src/kernel/closingconnections.h
+++ b/src/kernel/closingconnections.h
@@ -23,6 +23,13 @@
 
   /** Time in which a peer that has received everything has to close. */
   Duration PeerCloseTimeout = seconds(1);
+
+  /**
+   * Resets the connection of a peer that has not closed by then, so that it
+   * does not read what it has received later. Otherwise, the connection is
+   * closed and the peer may still read everything.
+   */
+  bool ResetUnclosed = false;
 };
 
 /**
--- a/src/kernel/frametransport.cpp
+++ b/src/kernel/frametransport.cpp
@@ -19,7 +19,7 @@
 FrameTransport::FrameTransport(Task &Owner, FrameTransportOptions NewOptions,
                                FrameEvents Events)
     : Owner(Owner), Options(std::move(NewOptions)), Events(std::move(Events)),
-      Closing(Owner, {}, nullptr) {
+      Closing(Owner, {.ResetUnclosed = true}, nullptr) {
   if (this->Options.ListenPort == 0)
     return;
   auto NewListener = std::make_unique<TcpListener>(
--- a/tests/kernel/tcpconnection_test.cpp
+++ b/tests/kernel/tcpconnection_test.cpp
@@ -1,3 +1,4 @@
+#include "kernel/closingconnections.h"
 #include "kernel/task.h"
 #include "kernel/tcpconnection.h"
 #include "kernel/timer.h"
@@ -135,3 +136,42 @@
   cr_assert_eq(Received, Size, "%zu of %zu bytes arrived", Received, Size);
   cr_assert_gt(Drained, 0);
 }
+
+namespace {
+
+/**
+ * Closes a connection whose peer does not close; returns whether the peer can
+ * still send after PeerCloseTimeout.
+ */
+bool canSendAfterClose(bool ResetUnclosed) {
+  const Listener Server;
+  const int Peer = connectTo(Server);
+  Task Owner({.Name = "test", .MaxSockets = 64});
+  ClosingConnections Closing(
+      Owner,
+      {.PeerCloseTimeout = milliseconds(200), .ResetUnclosed = ResetUnclosed},
+      nullptr);
+  auto Connection = std::make_unique<TcpConnection>(
+      Owner, accept(Server.Fd, nullptr, nullptr),
+      TcpEvents{.Connected = nullptr,
+                .Received = [](std::string_view) {},
+                .Closed = nullptr,
+                .Drained = nullptr});
+  Connection->send("last bytes");
+  Closing.add(std::move(Connection));
+  Timer StopTimer(Owner, [&] { Owner.stop(); });
+  StopTimer.start(milliseconds(600));
+  Owner.run();
+  const bool Sent = send(Peer, "x", 1, MSG_NOSIGNAL) == 1;
+  close(Peer);
+  return Sent;
+}
+
+} // namespace
+
+// Guards against a node that reads requests long after their sender has given
+// them up: streams between nodes are reset, callers' connections are not.
+Test(closingconnections, resets_a_peer_that_does_not_close_if_asked_to) {
+  cr_expect_not(canSendAfterClose(true));
+  cr_expect(canSendAfterClose(false));
+}
